--- /dev/null
+++ b/oatcart/__init__.py
@@ -0,0 +1,1 @@
+"""oatcart: a traffic director for fleets of sidecar proxies."""
--- /dev/null
+++ b/oatcart/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter that joins the decision module to the simulator's wire."""
--- /dev/null
+++ b/oatcart/simhost/host.py
@@ -0,0 +1,212 @@
+"""Instances on the simulator's wire: numbers and units are turned at this door, both ways."""
+
+import json
+import math
+
+from oatcart import interface as our
+from oatcart.policy import Conductor
+from oatcart.simhost import wire
+
+_OUTCOMES = {0: our.ANSWERED, 5: our.ERRORED, 11: our.TURNED_AWAY, 110: our.SILENT,
+             111: our.UNREACHED, 104: our.UNREACHED}
+_REPEATS = {"idempotent": our.REPLAYABLE, "deduplicated": our.UNIQUED}
+_ADMITS = {"fraction": our.BY_SHARE, "per_second": our.BY_RATE}
+_LOADS = ("concurrent", "load_share", "depth")
+_FULL, _CACHED, _FAILED = 2, 1, 4
+
+
+def seconds(table: dict, key: str, default: float = 0.0) -> float:
+    """A time of the settings in seconds.
+
+    >>> seconds({"aim": 250.0}, "aim"), seconds({}, "aim", 2.0)
+    (0.25, 2.0)
+    """
+    value = table.get(key)
+    return default if value is None else value / 1000
+
+
+def _given(record: type, **values):
+    """A record with the values that are there; the others keep its defaults."""
+    return record(**{key: value for key, value in values.items() if value is not None})
+
+
+def _req_kind(grade: dict, home: bool, zones: list[str]) -> our.ReqKind:
+    names = grade.get("onlyZones") or []
+    return our.ReqKind(
+        value=grade.get("worth", 1.0),
+        response_target=seconds(grade, "aim", 1.0),
+        client_timeout=seconds(grade, "deadline", 1.0),
+        repeat=_REPEATS.get(grade.get("idempotency"), our.NON_REPLAYABLE),
+        home_zone=home,
+        zones=tuple(zones.index(z) if isinstance(z, str) else int(z) for z in names if z in zones or
+                    not isinstance(z, str)),
+    )
+
+
+def conductor_from(params: dict, seed: int) -> Conductor:
+    """A conductor started with what the wire's settings say, each part in a record of its own."""
+    plane, rules = params.get("specifics") or {}, params.get("rules") or {}
+    grades = params.get("grades") or []
+    home = plane.get("zoneBound") or []
+    return Conductor(
+        seed=seed,
+        kinds=[_req_kind(grade, place < len(home) and home[place], params.get("zones") or [])
+               for place, grade in enumerate(grades)],
+        zones=len(params.get("zones") or [0]),
+        roll=our.RollManners(
+            must_ask=params.get("membershipMode") == "subscribe",
+            ask_within=seconds(rules, "askWithin"),
+            nominal_told=params.get("weights", "off") != "off"),
+        channel=_given(
+            our.ChannelLimits, line_rate=plane.get("pushRate"), head=plane.get("envelope"),
+            queue_most=plane.get("queueCap"), messages_most=plane.get("messagesMost"),
+            messages_over=seconds(plane, "updateWindow", 10.0)),
+        cold=_given(
+            our.ColdLimits, warm_after=seconds(rules, "cold"), share_at_start=rules.get("coldShare"),
+            fall_multiple=rules.get("tipMultiple"), fall_after=seconds(rules, "fall")),
+        report_period=seconds(plane, "period", 1.0),
+        admitting=_ADMITS.get(plane.get("admit"), our.NOT_AT_ALL),
+        crossing_price=(params.get("penalties") or {}).get("crossZone", 0.0),
+        may_probe=bool((params.get("policyLimits") or {}).get("probes")),
+    )
+
+
+class Orders:
+    """Writes one instance's orders as records of the reply."""
+
+    def __init__(self, inst: int, nodes: list[int], reply: list[bytes]) -> None:
+        self._inst, self._nodes, self._write = inst, nodes, reply.append
+
+    def line(self, table: int, node: int, weight: float) -> None:
+        self._write(wire.line(self._inst, table, self._nodes[node], weight))
+
+    def blank(self, table: int) -> None:
+        self._write(wire.blank(self._inst, table))
+
+    def bind(self, table: int, proxy: int, kinds: int) -> None:
+        self._write(wire.bind(self._inst, table, proxy, kinds))
+
+    def withdraw(self, node: int, out: bool) -> None:
+        self._write(wire.withdraw(self._inst, self._nodes[node], out))
+
+    def admit(self, table: int, kinds: int, level: float, tries: int) -> None:
+        self._write(wire.admit(self._inst, table, kinds, level, tries))
+
+    def ask_ack(self, mark: int, everyone: bool) -> None:
+        self._write(wire.ask_ack(self._inst, mark, everyone))
+
+    def probe(self, node: int) -> None:
+        self._write(wire.probe(self._inst, self._nodes[node]))
+
+    def follow(self, on: bool) -> None:
+        self._write(wire.follow(self._inst, on))
+
+    def fetch_roll(self) -> None:
+        self._write(wire.fetch(self._inst))
+
+    def tell(self, peer: int, body: bytes) -> None:
+        self._write(wire.tell(self._inst, peer, body))
+
+    def wake(self, after: float) -> None:
+        self._write(wire.wake(self._inst, 0, after * 1000))
+
+    def note(self, text: str) -> None:
+        self._write(wire.note(self._inst, text))
+
+
+class Instance:
+    """One conductor and the numbers that the wire uses for its nodes."""
+
+    def __init__(self, inst: int, seed: int, params: bytes) -> None:
+        settings = json.loads(params)
+        self.inst = inst
+        self.conductor = conductor_from(settings, seed)
+        self.fields = list((settings.get("report") or {}).get("fields") or [])
+        self.nodes: list[int] = []
+        self.places: dict[int, int] = {}
+
+    def place(self, node: int) -> int:
+        """The small index of a node, given out as nodes are met."""
+        if node not in self.places:
+            self.places[node] = len(self.nodes)
+            self.nodes.append(node)
+        return self.places[node]
+
+    def load(self, values: tuple[float, ...]) -> our.Load:
+        """A load report by our names; what is not told, or is no number, is None."""
+        told = {name: value for name, value in zip(self.fields, values) if math.isfinite(value) and value >= 0}
+        held, busy, waiting = (told.get(name) for name in _LOADS)
+        return held, busy, waiting
+
+    def arrival(self, record: tuple) -> tuple | None:
+        """A wire record as the module is told of it; None for what it has no use for."""
+        name, fields = record[0], record[2:]
+        if name == "listed":
+            mode, _, entries = fields
+            if mode == _FAILED:
+                return ("unlisted",)
+            return ("listed", mode in (_FULL, _CACHED),
+                    [(self.place(node), zone, started / 1000, state, nominal)
+                     for node, zone, started, state, _, nominal, _ in entries])
+        if name == "met":
+            over, took, errored, tried, node, zone, values = fields
+            return (name, self.place(node), zone, over / 1000, took / 1000, errored, tried, self.load(values))
+        if name == "came":
+            proxy, kind, count, errored, over = fields
+            return (name, proxy, kind, count, errored, over / 1000)
+        if name == "probed":
+            node, status, took, values = fields
+            return (name, self.place(node), _OUTCOMES.get(status, our.TURNED_AWAY), took / 1000, self.load(values))
+        if name == "joined":
+            blank, proxy, zone, usual = fields
+            return (name, proxy, zone, usual, bool(blank))
+        if name == "applied":
+            proxy, mark, took = fields
+            return (name, proxy, mark, took / 1000)
+        if name == "left":
+            return (name, *fields)
+        if name == "woke":
+            return (name,)
+        if name == "peer":
+            return ("told", *fields)
+        return None
+
+
+class Host:
+    """All instances of one adapter process; they share nothing."""
+
+    def __init__(self) -> None:
+        self._instances: dict[int, Instance] = {}
+
+    def answer(self, clock: float, records: list[tuple]) -> tuple[int, bytes]:
+        """The records of the reply to one batch: their number and their bytes."""
+        reply: list[bytes] = []
+        arrivals: dict[int, list[tuple]] = {}
+        for record in records:
+            name, inst = record[:2]
+            if name == "start":
+                arrivals[inst] = []
+                try:
+                    self._instances[inst] = Instance(inst, record[2], record[3])
+                except Exception as error:  # told on the wire, see WIRE, Panic
+                    self._instances.pop(inst, None)
+                    reply.append(wire.fault(inst, f"start: {error!r}"))
+            elif name == "stop":
+                self._instances.pop(inst, None)
+                arrivals.pop(inst, None)
+            elif inst in self._instances:
+                arrival = self._instances[inst].arrival(record)
+                arrivals.setdefault(inst, [])
+                if arrival is not None:
+                    arrivals[inst].append(arrival)
+        for inst, came in arrivals.items():
+            if inst not in self._instances:
+                continue
+            instance = self._instances[inst]
+            written: list[bytes] = []
+            try:
+                instance.conductor.round(clock / 1000, came, Orders(inst, instance.nodes, written))
+            except Exception as error:  # told on the wire, see WIRE, Panic
+                written.append(wire.fault(inst, f"{type(error).__name__}: {error}"))
+            reply += written
+        return len(reply), b"".join(reply)
