--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -26,6 +26,7 @@
 RESEND_OVER = 5.0  # points; the design's threshold, a move below it is within the noise of the reports
 ACK_WAIT = 2.0  # s; the design's longest wait for most of a table's proxies
 ORDINARY_PART = 0.5  # share of the queue and message caps for weight changes; the rest is kept for urgent orders
+LEVELS_PART = 0.75  # the same for levels: weight changes must not keep a cut from the proxies while the fleet drowns
 # --- Ramp ---
 RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
 # --- What is heard ---
@@ -500,7 +501,7 @@
             old = self.levels.get(kind, (-1.0, -1))
             if (abs(level - old[0]) < LEVEL_STEP and 0 < level < 1 or level == old[0]) and tries == old[1]:
                 continue
-            if not self.channel.fits(self.now, self.proxies, 1, ORDINARY_PART):
+            if not self.channel.fits(self.now, self.proxies, 1, LEVELS_PART):
                 continue
             self.levels[kind] = (level, tries)
             self.orders.admit(our.ALL_TABLES, 1 << kind, self.quota(kind, level), tries)
