Cold nodes are capped by what they surely stand

Cause: a fresh node is idle, scores 80 where an overloaded fleet scores 30, and the two-choice pick prefers it: 4.9 times its capacity in 3 s. Cap: fall multiple x sure warmth x margin, over the pool's tries per answer. Should also hold for a node that comes back while others are withdrawn.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -29,6 +29,7 @@
 LEVELS_PART = 0.75  # the same for levels: weight changes must not keep a cut from the proxies while the fleet drowns
 # --- Ramp ---
 RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
+COLD_MARGIN = 0.25  # part used of what a cold node stands: half for the two-choice pick, half for others' proxies
 # --- What is heard ---
 FORGET = 3.0  # s; time constant of durations and errors: about three reports, so one odd report does not decide
 LOAD_STEP = 0.4  # share of a new load report taken over: two or three reports make a figure
@@ -143,6 +144,12 @@
             + (SENT_PART + RECEIVED_PART) * FLAT + ERROR_PART * clamp(100.0 - ratio * ERROR_COST))
 
 
+def pressure(nodes: list[Node]) -> float:
+    """Tries for each answer: above 1 where a pool is sent more than it can do."""
+    good = sum(node.good for node in nodes)
+    return max(1.0, sum(node.tried for node in nodes) / good) if good >= 1.0 else 1.0
+
+
 class Channel:
     """Counts lines and messages on their way, so that queue and message cap are kept."""
 
@@ -450,9 +457,25 @@
 
     def wanted(self, table: Table) -> dict[int, int]:
         """The table as it should stand: the rounded score of each listed node, eased in after a start."""
-        return {place: max(1, round((node.score or FLAT) * ramp(self.now - node.eased_at)))
-                for place, node in enumerate(self.nodes)
+        pool = {place: node for place, node in enumerate(self.nodes)
                 if node.state == our.READY and (not table.zones or node.zone in table.zones)}
+        want = {place: max(1, round((node.score or FLAT) * ramp(self.now - node.eased_at)))
+                for place, node in pool.items()}
+        warm = [want[place] for place, node in pool.items() if not node.out and self.warmth(node) >= 1.0]
+        if len(warm) < len(pool):
+            part = self.cold.fall_multiple * COLD_MARGIN / pressure(list(pool.values()))
+            most = sum(warm) / len(warm) if warm else 100.0
+            for place, node in pool.items():
+                if self.warmth(node) < 1.0:
+                    want[place] = max(1, min(want[place], round(part * self.warmth(node) * most)))
+        return want
+
+    def warmth(self, node: Node) -> float:
+        """The share of its capacity that a node surely has by now, however slowly it climbs."""
+        if not node.started or not self.cold.warm_after:
+            return 1.0
+        since = max(0.0, self.now - node.started) / self.cold.warm_after
+        return min(1.0, self.cold.share_at_start + (1.0 - self.cold.share_at_start) * since)
 
     def publish(self, place: int, table: Table, hurry: bool = False) -> None:
         """Send what changed, once most proxies have the last change or the wait is over."""
