Admission is judged for each table's own pool, with a floor from the best work done

Cause: one level for the whole fleet left a zone-bound pool drowning (93% of tries errored) while the median node was calm, and the cut went on below what the fleet had shown it can do. May hurt where a pool of one or two nodes is judged by a sick one.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -51,6 +51,7 @@
 FAILING = 0.15  # share of tries errored at the median node that counts as full strain
 LEVEL_LEAST = 0.05  # share of a kind always let in, so that its durations stay known
 LEVEL_STEP = 0.04  # smallest change of a level worth a line to every proxy
+BEST_PART, BEST_FADES = 0.6, 0.98  # part of the best work done that is always let in, and its fading a second
 RATE_OPEN = 1e6  # reqs a second; a rate that holds nothing back
 # --- The roll ---
 ASK_AGAIN, ASK_MOST = 0.5, 4.0  # s; first and longest wait after a failed call
@@ -99,19 +100,23 @@
     sent: deque = field(default_factory=deque)
     due: float = 0.0  # lines of the message now being written
     rates: dict = field(default_factory=dict)  # reqs a second by kind
+    lost: dict = field(default_factory=dict)  # of those let in, the ones without an answer
 
 
 @dataclass(slots=True)
 class Table:
     """A table shared by proxies, as it was last ordered."""
 
-    kinds: int
+    kinds: tuple[int, ...]
     zones: tuple[int, ...]  # empty: nodes of all zones
     lines: dict = field(default_factory=dict)
     proxies: dict = field(default_factory=dict)
     mark: int = 0
     waiting: set = field(default_factory=set)
     changed_at: float = -1e9
+    share: float = 1.0  # of the work offered that is let in
+    best: float = 0.0  # the most work done, in reqs a second times their response targets
+    levels: dict = field(default_factory=dict)  # by kind: share let in, way of trying again
 
 
 def load_score(load: float) -> float:
@@ -199,9 +204,6 @@
         self.look_at = self.rescore_at = -1e9
         self.woken = True
         self.following, self.ask_at, self.ask_wait, self.fetch_at = not roll.must_ask, -1e9, ASK_AGAIN, -1e9
-        self.share = 1.0  # of the work offered that is let in
-        self.levels: dict[int, tuple[float, int]] = {}
-        self.strain = 0.0
 
     # --- The round ---
 
@@ -230,8 +232,9 @@
         if full:
             self.rescore_at = self.now + RESCORE_EVERY
             self.rescore()
-            self.set_levels()
         for place, table in enumerate(self.tables):
+            if full:
+                self.set_levels(place, table)
             self.publish(place, table)
 
     def take_woke(self) -> None:
@@ -290,9 +293,9 @@
             table = self.tables[place]
             if not table.proxies:
                 self.publish(place, table)
-            self.orders.bind(place, proxy, table.kinds)
+            self.orders.bind(place, proxy, sum(1 << kind for kind in table.kinds))
             table.proxies[proxy] = self.proxies[proxy]
-            self.proxies[proxy].due += 1 + len(table.lines) + len(self.levels) + sum(n.shut for n in self.nodes)
+            self.proxies[proxy].due += 1 + len(table.lines) + len(table.levels) + sum(n.shut for n in self.nodes)
 
     def take_left(self, proxy: int) -> None:
         self.proxies.pop(proxy, None)
@@ -303,14 +306,14 @@
     def view(self, zone: int) -> list[int]:
         """The tables that serve the proxies of a zone, one for each set of nodes open to some kinds."""
         if zone not in self.views:
-            masks: dict[tuple, int] = {}
+            groups: dict[tuple, tuple] = {}
             for kind, req in enumerate(self.kinds):
                 open_to = (zone,) if req.home_zone else req.zones
-                masks[open_to] = masks.get(open_to, 0) | 1 << kind
-            self.views[zone] = [self.table(kinds, open_to) for open_to, kinds in masks.items()]
+                groups[open_to] = (*groups.get(open_to, ()), kind)
+            self.views[zone] = [self.table(kinds, open_to) for open_to, kinds in groups.items()]
         return self.views[zone]
 
-    def table(self, kinds: int, zones: tuple[int, ...]) -> int:
+    def table(self, kinds: tuple[int, ...], zones: tuple[int, ...]) -> int:
         for place, table in enumerate(self.tables):
             if (table.kinds, table.zones) == (kinds, zones):
                 return place
@@ -324,8 +327,8 @@
 
     def take_came(self, proxy: int, kind: int, count: int, errored: int, over: float) -> None:
         if proxy in self.proxies and over > 0:
-            rates = self.proxies[proxy].rates
-            rates[kind] = rates.get(kind, count / over) * 0.5 + count / over * 0.5
+            for seen, figure in ((self.proxies[proxy].rates, count), (self.proxies[proxy].lost, errored)):
+                seen[kind] = seen.get(kind, figure / over) * 0.5 + figure / over * 0.5
 
     # --- What is heard of nodes ---
 
@@ -373,6 +376,11 @@
 
     # --- Health ---
 
+    def pool(self, table: Table) -> dict[int, Node]:
+        """The ready nodes open to a table's kinds."""
+        return {place: node for place, node in enumerate(self.nodes)
+                if node.state == our.READY and (not table.zones or node.zone in table.zones)}
+
     def ready(self) -> list[Node]:
         return [node for node in self.nodes if node.state == our.READY]
 
@@ -392,7 +400,7 @@
             node.tried *= keep
             node.errored *= keep
         for table in self.tables:
-            pool = [node for node in ready if not table.zones or node.zone in table.zones]
+            pool = self.pool(table).values()
             if all(node.out for node in pool):
                 for node in pool:
                     node.out = False
@@ -411,8 +419,8 @@
 
     def take_out(self, place: int, node: Node) -> None:
         for table in self.tables:
-            pool = [n for n in self.ready() if not table.zones or n.zone in table.zones]
-            if node in pool and sum(n.out for n in pool) + 1 > OUT_MOST * len(pool):
+            pool = self.pool(table)
+            if place in pool and sum(n.out for n in pool.values()) + 1 > OUT_MOST * len(pool):
                 return
         node.hold = min(HOLD_MOST, node.hold * 2) if self.now - node.out_at < WELL_FOR + node.hold else HOLD
         node.out, node.out_at, node.passes = True, self.now, 0
@@ -457,8 +465,7 @@
 
     def wanted(self, table: Table) -> dict[int, int]:
         """The table as it should stand: the rounded score of each listed node, eased in after a start."""
-        pool = {place: node for place, node in enumerate(self.nodes)
-                if node.state == our.READY and (not table.zones or node.zone in table.zones)}
+        pool = self.pool(table)
         want = {place: max(1, round((node.score or FLAT) * ramp(self.now - node.eased_at)))
                 for place, node in pool.items()}
         warm = [want[place] for place, node in pool.items() if not node.out and self.warmth(node) >= 1.0]
@@ -508,48 +515,44 @@
 
     # --- Admission and further tries ---
 
-    def set_levels(self) -> None:
+    def set_levels(self, place: int, table: Table) -> None:
         """Under strain let in less, least value for its response target first; further tries stop before."""
-        nodes = [node for node in self.ready() if not node.out and node.tried >= 1]
-        late = median(n.took / n.good if n.good else 0.0 for n in nodes) if nodes else 0.0
-        failing = median(n.errored / n.tried for n in nodes) if nodes else 0.0
-        self.strain = max(late / (ON_TIME * self.target()), failing / FAILING)
-        if self.strain > 1.0:
-            self.share = max(LEVEL_LEAST, self.share * max(CUT_MOST, 1.0 / self.strain))
-        elif self.strain < CALM:
-            self.share = min(1.0, self.share + GIVE_BACK)
-        calm = self.share >= 1.0 and self.strain < 1.0
-        for kind, level in enumerate(self.kind_levels()):
-            tries = our.AFTER_ANY if calm and self.kinds[kind].repeat == our.REPLAYABLE else our.AFTER_PROOF
-            old = self.levels.get(kind, (-1.0, -1))
-            if (abs(level - old[0]) < LEVEL_STEP and 0 < level < 1 or level == old[0]) and tries == old[1]:
+        pool = [node for node in self.pool(table).values() if not node.out and node.tried >= 1]
+        late = median(n.took / n.good if n.good else 0.0 for n in pool) if pool else 0.0
+        failing = median(n.errored / n.tried for n in pool) if pool else 0.0
+        strain = max(late / (ON_TIME * self.target()), failing / FAILING)
+        offered = {kind: sum(p.rates.get(kind, 0.0) for p in table.proxies.values()) for kind in table.kinds}
+        work = {kind: rate * self.kinds[kind].response_target for kind, rate in offered.items()}
+        done = sum(max(0.0, work[kind] * table.levels.get(kind, (1.0, 0))[0] - self.kinds[kind].response_target
+                       * sum(p.lost.get(kind, 0.0) for p in table.proxies.values())) for kind in work)
+        table.best = max(table.best * BEST_FADES, done)
+        least = min(1.0, LEVEL_LEAST + BEST_PART * table.best / max(1e-9, sum(work.values())))
+        if strain > 1.0:
+            table.share = max(min(table.share, least), table.share * max(CUT_MOST, 1.0 / strain))
+        elif strain < CALM:
+            table.share = min(1.0, table.share + GIVE_BACK)
+        left = table.share * sum(work.values())
+        for kind in sorted(work, key=lambda k: -self.kinds[k].value / self.kinds[k].response_target):
+            cut = table.share < 1.0 and work[kind] and self.admitting != our.NOT_AT_ALL
+            level = max(LEVEL_LEAST, min(1.0, left / work[kind])) if cut else 1.0
+            left = max(0.0, left - work[kind] * level)
+            calm = table.share >= 1.0 and strain < 1.0 and self.kinds[kind].repeat == our.REPLAYABLE
+            tries = our.AFTER_ANY if calm else our.AFTER_PROOF
+            old = table.levels.get(kind, (-1.0, -1))
+            if tries == old[1] and (level == old[0] or level < 1.0 and abs(level - old[0]) < LEVEL_STEP):
                 continue
-            if not self.channel.fits(self.now, self.proxies, 1, LEVELS_PART):
-                continue
-            self.levels[kind] = (level, tries)
-            self.orders.admit(our.ALL_TABLES, 1 << kind, self.quota(kind, level), tries)
-            self.book(self.proxies, 1)
+            if self.channel.fits(self.now, table.proxies, 1, LEVELS_PART):
+                table.levels[kind] = (level, tries)
+                self.orders.admit(place, 1 << kind, self.quota(table, kind, level), tries)
+                self.book(table.proxies, 1)
 
-    def kind_levels(self) -> list[float]:
-        """The share of each kind let in, so that all together are the share of the work let in."""
-        work = [sum(p.rates.get(kind, 0.0) for p in self.proxies.values()) * req.response_target
-                for kind, req in enumerate(self.kinds)]
-        left = self.share * sum(work)
-        levels = [1.0] * len(self.kinds)
-        if self.share >= 1.0 or self.admitting == our.NOT_AT_ALL:
-            return levels
-        for kind in sorted(range(len(work)), key=lambda k: -self.kinds[k].value / self.kinds[k].response_target):
-            levels[kind] = max(LEVEL_LEAST, min(1.0, left / work[kind])) if work[kind] else 1.0
-            left = max(0.0, left - work[kind] * levels[kind])
-        return levels
-
-    def quota(self, kind: int, level: float) -> float:
+    def quota(self, table: Table, kind: int, level: float) -> float:
         """A level as the proxies take it: a share, or a rate that lets in that share over all proxies."""
         if self.admitting != our.BY_RATE:
             return level
         if level >= 1.0:
             return RATE_OPEN
-        rates = sorted(proxy.rates.get(kind, 0.0) for proxy in self.proxies.values())
+        rates = sorted(proxy.rates.get(kind, 0.0) for proxy in table.proxies.values())
         left = level * sum(rates)
         for place, rate in enumerate(rates):
             even = left / (len(rates) - place)
