--- a/oatcart/interface.py
+++ b/oatcart/interface.py
@@ -7,7 +7,6 @@
     ("unlisted",)                   a call to the roll failed, or following it broke
     ("woke",)                       the wait asked for with `wake` is over
     ("probed", node, outcome, took, load)       outcome: ANSWERED, ERRORED, TURNED_AWAY, UNREACHED, SILENT
-    ("told", peer, body)            a message of another conductor
     ("joined", proxy, zone, usual, blank)       blank: it holds only its standing tables
     ("left", proxy)
     ("applied", proxy, mark, took)  the proxy has applied all up to that mark
--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -27,6 +27,12 @@
 ACK_WAIT = 2.0  # s; the design's longest wait for most of a table's proxies
 ORDINARY_PART = 0.5  # share of the queue and message caps for weight changes; the rest is kept for urgent orders
 LEVELS_PART = 0.75  # the same for levels: weight changes must not keep a cut from the proxies while the fleet drowns
+LEANED_OVER = 0.1  # share of a standing weight; the same threshold for weights far above 100
+# --- Zones ---
+NEAR, NEAR_PRICE = 20, 0.03  # near nodes' scores count so many times, where crossing all day costs 3 points or more
+LEAN_PACE = 0.01  # share of a zone's part moved a second for each point of load above the rest
+LEAN_SLACK, LEAN_PRICE = 5.0, 100.0  # points of load let stand, and more of them for the price of crossing
+LEAN_LEAST = 0.05  # smallest lean: a zone still gets enough tries to be known
 # --- Ramp ---
 RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
 COLD_MARGIN = 0.25  # part used of what a cold node stands: half for the two-choice pick, half for others' proxies
@@ -109,6 +115,7 @@
 
     kinds: tuple[int, ...]
     zones: tuple[int, ...]  # empty: nodes of all zones
+    near: int  # the zone whose nodes are preferred; -1: none
     lines: dict = field(default_factory=dict)
     proxies: dict = field(default_factory=dict)
     mark: int = 0
@@ -192,6 +199,8 @@
                  crossing_price: float, may_probe: bool) -> None:
         self.uniform = Random(seed).uniform
         self.kinds, self.roll, self.cold = kinds, roll, cold
+        self.crossing_price = crossing_price
+        self.lean: dict[int, float] = {}  # by zone: the part of its scores that open tables give it
         self.period, self.admitting, self.may_probe = report_period, admitting, may_probe
         self.channel = Channel(channel)
         self.nodes: list[Node] = []
@@ -240,9 +249,6 @@
     def take_woke(self) -> None:
         self.woken = True
 
-    def take_told(self, peer: int, body: bytes) -> None:
-        """Nothing is told between conductors yet."""
-
     # --- The roll ---
 
     def ask_roll(self) -> None:
@@ -308,16 +314,20 @@
         if zone not in self.views:
             groups: dict[tuple, tuple] = {}
             for kind, req in enumerate(self.kinds):
-                open_to = (zone,) if req.home_zone else req.zones
+                open_to = ((zone,), -1) if req.home_zone else (req.zones, -1 if req.zones else self.near(zone))
                 groups[open_to] = (*groups.get(open_to, ()), kind)
-            self.views[zone] = [self.table(kinds, open_to) for open_to, kinds in groups.items()]
+            self.views[zone] = [self.table(kinds, *open_to) for open_to, kinds in groups.items()]
         return self.views[zone]
 
-    def table(self, kinds: tuple[int, ...], zones: tuple[int, ...]) -> int:
+    def near(self, zone: int) -> int:
+        """Proxies of a zone share a table of their own only where crossing zones is dear."""
+        return zone if self.crossing_price >= NEAR_PRICE else -1
+
+    def table(self, kinds: tuple[int, ...], zones: tuple[int, ...], near: int) -> int:
         for place, table in enumerate(self.tables):
-            if (table.kinds, table.zones) == (kinds, zones):
+            if (table.kinds, table.zones, table.near) == (kinds, zones, near):
                 return place
-        self.tables.append(Table(kinds, zones))
+        self.tables.append(Table(kinds, zones, near))
         return len(self.tables) - 1
 
     def take_applied(self, proxy: int, mark: int, took: float) -> None:
@@ -462,6 +472,20 @@
             node.score = (average if points is None else points) * ratio
             if node.load is not None:
                 node.loads.append(node.load)
+        self.lean_zones(ready)
+
+    def lean_zones(self, ready: list[Node]) -> None:
+        """Open tables give a zone less while its nodes carry more than the rest: what may go elsewhere makes room."""
+        loads: dict[int, list[float]] = {}
+        for node in ready:
+            if node.load is not None and not node.out:
+                loads.setdefault(node.zone, []).append(min(150.0, node.load))
+        slack = LEAN_SLACK + LEAN_PRICE * self.crossing_price
+        for zone, here in loads.items():
+            rest = [load for other, there in loads.items() if other != zone for load in there]
+            over = sum(here) / len(here) - sum(rest) / len(rest) if rest else 0.0
+            over = over - slack if over > slack else min(0.0, over)
+            self.lean[zone] = max(LEAN_LEAST, min(1.0, self.lean.get(zone, 1.0) * (1.0 - LEAN_PACE * over)))
 
     def wanted(self, table: Table) -> dict[int, int]:
         """The table as it should stand: the rounded score of each listed node, eased in after a start."""
@@ -475,6 +499,9 @@
             for place, node in pool.items():
                 if self.warmth(node) < 1.0:
                     want[place] = max(1, min(want[place], round(part * self.warmth(node) * most)))
+        for place, node in pool.items() if not table.zones else ():
+            near = NEAR if node.zone == table.near and self.warmth(node) >= 1.0 else 1
+            want[place] = max(1, round(want[place] * near * self.lean.get(node.zone, 1.0)))
         return want
 
     def warmth(self, node: Node) -> float:
@@ -488,7 +515,8 @@
         """Send what changed, once most proxies have the last change or the wait is over."""
         want = self.wanted(table)
         changes = {node: want.get(node, 0) for node in sorted(table.lines.keys() | want.keys())
-                   if abs(want.get(node, 0) - table.lines.get(node, 0)) > RESEND_OVER
+                   if abs(want.get(node, 0) - table.lines.get(node, 0))
+                   > max(RESEND_OVER, LEANED_OVER * table.lines.get(node, 0))
                    or (node in want) != (node in table.lines)}
         hurry = hurry or not any(node in want for node in table.lines) \
             or any(0 < weight < table.lines.get(node, 0) / 2 for node, weight in changes.items())
--- a/oatcart/simhost/host.py
+++ b/oatcart/simhost/host.py
@@ -167,8 +167,6 @@
             return (name, *fields)
         if name == "woke":
             return (name,)
-        if name == "peer":
-            return ("told", *fields)
         return None
 
 
