--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -29,8 +29,8 @@
 LEVELS_PART = 0.75  # the same for levels: weight changes must not keep a cut from the proxies while the fleet drowns
 LEANED_OVER = 0.1  # share of a standing weight; the same threshold for weights far above 100
 # --- Zones ---
-NEAR, NEAR_PRICE = 20, 0.03  # near nodes' scores count so many times, where crossing all day costs 3 points or more
-LEAN_PACE = 0.01  # share of a zone's part moved a second for each point of load above the rest
+NEAR, NEAR_PRICE = 20, 1.03  # near nodes' scores count so many times, where crossing all day costs 3 points or more
+LEAN_PACE = 0.003  # share of a zone's part moved a second for each point of load above the rest
 LEAN_SLACK, LEAN_PRICE = 5.0, 100.0  # points of load let stand, and more of them for the price of crossing
 LEAN_LEAST = 0.05  # smallest lean: a zone still gets enough tries to be known
 # --- Ramp ---
