--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
 from statistics import median
@@ -30,8 +31,8 @@
 LEANED_OVER = 0.1  # share of a standing weight; the same threshold for weights far above 100
 # --- Zones ---
 NEAR, NEAR_PRICE = 20, 1.03  # near nodes' scores count so many times, where crossing all day costs 3 points or more
-LEAN_PACE = 0.003  # share of a zone's part moved a second for each point of load above the rest
-LEAN_SLACK, LEAN_PRICE = 5.0, 100.0  # points of load let stand, and more of them for the price of crossing
+LEAN_FROM, LEAN_BEYOND = 0.8, 1.2  # strain of a zone, and that many times the others', from which others make room
+LEAN_FALL, LEAN_RISE = 0.7, 1.06  # of a zone's part a second: out in three or four seconds, back in half a minute
 LEAN_LEAST = 0.05  # smallest lean: a zone still gets enough tries to be known
 # --- Ramp ---
 RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
@@ -52,7 +53,7 @@
 PASSES = 2  # probes in a row that must be answered before a way back
 PROBE_EVERY = 1.0  # s; for withdrawn nodes only, a few probes a second at the worst
 # --- Admission ---
-CUT_MOST, GIVE_BACK = 0.85, 0.04  # share kept at the sharpest cut, share given back a second: down fast, up slowly
+CUT_MOST, CUT_EVERY, GIVE_BACK = 0.75, 2.5, 0.04  # share kept at a cut, s between cuts (until reports show the last one), share given back a second
 CALM = 0.8  # share of the strain limit below which admission comes back, so that it does not swing
 FAILING = 0.15  # share of tries errored at the median node that counts as full strain
 LEVEL_LEAST = 0.05  # share of a kind always let in, so that its durations stay known
@@ -122,6 +123,7 @@
     waiting: set = field(default_factory=set)
     changed_at: float = -1e9
     share: float = 1.0  # of the work offered that is let in
+    cut_at: float = -1e9
     best: float = 0.0  # the most work done, in reqs a second times their response targets
     levels: dict = field(default_factory=dict)  # by kind: share let in, way of trying again
 
@@ -162,6 +164,14 @@
     return max(1.0, sum(node.tried for node in nodes) / good) if good >= 1.0 else 1.0
 
 
+def strain(nodes: Iterable[Node], target: float) -> float:
+    """How far the median node in use is from answering on time; above 1 it does not, or fails too much."""
+    used = [node for node in nodes if not node.out and node.tried >= 1]
+    late = median(n.took / n.good if n.good else 0.0 for n in used) if used else 0.0
+    failing = median(n.errored / n.tried for n in used) if used else 0.0
+    return max(late / (ON_TIME * target), failing / FAILING)
+
+
 class Channel:
     """Counts lines and messages on their way, so that queue and message cap are kept."""
 
@@ -472,20 +482,20 @@
             node.score = (average if points is None else points) * ratio
             if node.load is not None:
                 node.loads.append(node.load)
-        self.lean_zones(ready)
-
-    def lean_zones(self, ready: list[Node]) -> None:
-        """Open tables give a zone less while its nodes carry more than the rest: what may go elsewhere makes room."""
-        loads: dict[int, list[float]] = {}
-        for node in ready:
-            if node.load is not None and not node.out:
-                loads.setdefault(node.zone, []).append(min(150.0, node.load))
-        slack = LEAN_SLACK + LEAN_PRICE * self.crossing_price
-        for zone, here in loads.items():
-            rest = [load for other, there in loads.items() if other != zone for load in there]
-            over = sum(here) / len(here) - sum(rest) / len(rest) if rest else 0.0
-            over = over - slack if over > slack else min(0.0, over)
-            self.lean[zone] = max(LEAN_LEAST, min(1.0, self.lean.get(zone, 1.0) * (1.0 - LEAN_PACE * over)))
+        self.lean_zones()
+
+    def lean_zones(self) -> None:
+        """Open tables leave a zone that is under more strain than the rest: what may go elsewhere makes room."""
+        target = self.target()
+        zones = sorted({node.zone for node in self.ready()})
+        for zone in zones:
+            here = strain([n for n in self.ready() if n.zone == zone], target)
+            rest = strain([n for n in self.ready() if n.zone != zone], target)
+            lean = self.lean.get(zone, 1.0)
+            if here > LEAN_FROM and here > LEAN_BEYOND * rest:
+                self.lean[zone] = max(LEAN_LEAST, lean * LEAN_FALL)
+            elif here < LEAN_FROM:
+                self.lean[zone] = min(1.0, lean * LEAN_RISE)
 
     def wanted(self, table: Table) -> dict[int, int]:
         """The table as it should stand: the rounded score of each listed node, eased in after a start."""
@@ -545,26 +555,27 @@
 
     def set_levels(self, place: int, table: Table) -> None:
         """Under strain let in less, least value for its response target first; further tries stop before."""
-        pool = [node for node in self.pool(table).values() if not node.out and node.tried >= 1]
-        late = median(n.took / n.good if n.good else 0.0 for n in pool) if pool else 0.0
-        failing = median(n.errored / n.tried for n in pool) if pool else 0.0
-        strain = max(late / (ON_TIME * self.target()), failing / FAILING)
+        pool = self.pool(table)
+        strained = strain(pool.values(), self.target())
         offered = {kind: sum(p.rates.get(kind, 0.0) for p in table.proxies.values()) for kind in table.kinds}
         work = {kind: rate * self.kinds[kind].response_target for kind, rate in offered.items()}
         done = sum(max(0.0, work[kind] * table.levels.get(kind, (1.0, 0))[0] - self.kinds[kind].response_target
                        * sum(p.lost.get(kind, 0.0) for p in table.proxies.values())) for kind in work)
         table.best = max(table.best * BEST_FADES, done)
         least = min(1.0, LEVEL_LEAST + BEST_PART * table.best / max(1e-9, sum(work.values())))
-        if strain > 1.0:
-            table.share = max(min(table.share, least), table.share * max(CUT_MOST, 1.0 / strain))
-        elif strain < CALM:
+        room = table.zones and len(self.tables) > 1 and any(self.lean.get(zone, 1.0) > LEAN_LEAST for zone in table.zones)
+        if strained > 1.0 and not room:
+            if self.now - table.cut_at >= CUT_EVERY:
+                table.cut_at = self.now
+                table.share = max(min(table.share, least), table.share * max(CUT_MOST, 1.0 / strained))
+        elif strained < CALM:
             table.share = min(1.0, table.share + GIVE_BACK)
         left = table.share * sum(work.values())
         for kind in sorted(work, key=lambda k: -self.kinds[k].value / self.kinds[k].response_target):
             cut = table.share < 1.0 and work[kind] and self.admitting != our.NOT_AT_ALL
             level = max(LEVEL_LEAST, min(1.0, left / work[kind])) if cut else 1.0
             left = max(0.0, left - work[kind] * level)
-            calm = table.share >= 1.0 and strain < 1.0 and self.kinds[kind].repeat == our.REPLAYABLE
+            calm = table.share >= 1.0 and strained < 1.0 and self.kinds[kind].repeat == our.REPLAYABLE
             tries = our.AFTER_ANY if calm else our.AFTER_PROOF
             old = table.levels.get(kind, (-1.0, -1))
             if tries == old[1] and (level == old[0] or level < 1.0 and abs(level - old[0]) < LEVEL_STEP):
