--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -487,8 +487,7 @@
     def lean_zones(self) -> None:
         """Open tables leave a zone that is under more strain than the rest: what may go elsewhere makes room."""
         target = self.target()
-        zones = sorted({node.zone for node in self.ready()})
-        for zone in zones:
+        for zone in sorted({zone for table in self.tables for zone in table.zones}):
             here = strain([n for n in self.ready() if n.zone == zone], target)
             rest = strain([n for n in self.ready() if n.zone != zone], target)
             lean = self.lean.get(zone, 1.0)
@@ -563,7 +562,7 @@
                        * sum(p.lost.get(kind, 0.0) for p in table.proxies.values())) for kind in work)
         table.best = max(table.best * BEST_FADES, done)
         least = min(1.0, LEVEL_LEAST + BEST_PART * table.best / max(1e-9, sum(work.values())))
-        room = table.zones and len(self.tables) > 1 and any(self.lean.get(zone, 1.0) > LEAN_LEAST for zone in table.zones)
+        room = table.zones and any(self.lean.get(zone, 1.0) > LEAN_LEAST for zone in table.zones)
         if strained > 1.0 and not room:
             if self.now - table.cut_at >= CUT_EVERY:
                 table.cut_at = self.now
