Try: cold lines left out where two draws meet them too often; sick against the zone; median by tries

Cause looked at: in a three-line table the two draws meet a line of weight 1 nearly always, so the weight cap alone could not keep the cold node from 4.9 times its capacity.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
-from statistics import median
 
 from oatcart import interface as our
 
@@ -158,17 +157,43 @@
             + (SENT_PART + RECEIVED_PART) * FLAT + ERROR_PART * clamp(100.0 - ratio * ERROR_COST))
 
 
+def errors(nodes: Iterable[Node]) -> float:
+    """The share of tries at some nodes that errored."""
+    tried, errored = 0.0, 0.0
+    for node in nodes:
+        tried, errored = tried + node.tried, errored + node.errored
+    return errored / max(1.0, tried)
+
+
 def pressure(nodes: list[Node]) -> float:
     """Tries for each answer: above 1 where a pool is sent more than it can do."""
     good = sum(node.good for node in nodes)
     return max(1.0, sum(node.tried for node in nodes) / good) if good >= 1.0 else 1.0
 
 
+def exposure(weight: float, lines: list[int]) -> float:
+    """How often a line is one of the two drawn by weight: nearly always where one other line is heavy."""
+    whole = sum(lines)
+    others = list(lines)
+    others.remove(weight)
+    return weight / whole + sum(other / whole * weight / (whole - other) for other in others)
+
+
+def middle(pairs: list[tuple[float, float]]) -> float:
+    """The median of figures, each counted by its weight."""
+    left = sum(weight for _, weight in pairs) / 2
+    for figure, weight in sorted(pairs):
+        left -= weight
+        if left <= 0:
+            return figure
+    return 0.0
+
+
 def strain(nodes: Iterable[Node], target: float) -> float:
-    """How far the median node in use is from answering on time; above 1 it does not, or fails too much."""
+    """How far the node that the median try meets is from answering on time; above 1 it does not, or fails too much."""
     used = [node for node in nodes if not node.out and node.tried >= 1]
-    late = median(n.took / n.good if n.good else 0.0 for n in used) if used else 0.0
-    failing = median(n.errored / n.tried for n in used) if used else 0.0
+    late = middle([(n.took / n.good if n.good else 0.0, n.tried) for n in used])
+    failing = middle([(n.errored / n.tried, n.tried) for n in used])
     return max(late / (ON_TIME * target), failing / FAILING)
 
 
@@ -408,12 +433,11 @@
         """Withdraw on evidence, by comparison with the fleet; let back after a wait and good probes."""
         keep = 1.0 - min(1.0, LOOK_EVERY / FORGET)
         ready = self.ready()
-        tried, errored = sum(n.tried for n in ready), sum(n.errored for n in ready)
         for place, node in enumerate(self.nodes):
             if node.state == our.READY:
                 if node.out:
                     self.let_back(place, node)
-                elif self.sick(node, tried, errored) or self.silent(node):
+                elif self.sick(node, ready) or self.silent(node):
                     self.take_out(place, node)
             node.good *= keep
             node.took *= keep
@@ -425,12 +449,12 @@
                 for node in pool:
                     node.out = False
 
-    def sick(self, node: Node, tried: float, errored: float) -> bool:
-        """Errors far above the rest of the fleet's: quick failure, refusal, a node that falls over."""
+    def sick(self, node: Node, ready: list[Node]) -> bool:
+        """Errors far above the rest's, of the fleet and of its zone: quick failure, refusal, not a zone that drowns."""
         if node.tried < SICK_TRIES:
             return False
-        rest = (errored - node.errored) / max(1.0, tried - node.tried)
-        return node.errored / node.tried > SICK_RATIO + rest
+        rest = [n for n in ready if n is not node and not n.out]
+        return node.errored / node.tried > SICK_RATIO + max(errors(rest), errors(n for n in rest if n.zone == node.zone))
 
     def silent(self, node: Node) -> bool:
         """No answer while the rest gave many: a hang, a dead machine, a cut. Late reports alone never show so."""
@@ -505,10 +529,16 @@
         if len(warm) < len(pool):
             part = self.cold.fall_multiple * COLD_MARGIN / pressure(list(pool.values()))
             most = sum(warm) / len(warm) if warm else 100.0
-            for place, node in pool.items():
-                if self.warmth(node) < 1.0:
-                    want[place] = max(1, min(want[place], round(part * self.warmth(node) * most)))
-        for place, node in pool.items() if not table.zones else ():
+            cold = [place for place, node in pool.items() if self.warmth(node) < 1.0]
+            for place in cold:
+                want[place] = max(1, min(want[place], round(part * self.warmth(pool[place]) * most)))
+            for place in cold if warm else ():
+                open_lines = [want[at] for at, node in pool.items() if at in want and not node.out]
+                if not pool[place].out and exposure(want[place], open_lines) * len(warm) \
+                        > 2 * part * self.warmth(pool[place]) + 2 / most:
+                    del want[place]
+        for place in want if not table.zones else ():
+            node = pool[place]
             near = NEAR if node.zone == table.near and self.warmth(node) >= 1.0 else 1
             want[place] = max(1, round(want[place] * near * self.lean.get(node.zone, 1.0)))
         return want
