--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
+from statistics import median
 
 from oatcart import interface as our
 
@@ -179,21 +180,11 @@
     return weight / whole + sum(other / whole * weight / (whole - other) for other in others)
 
 
-def middle(pairs: list[tuple[float, float]]) -> float:
-    """The median of figures, each counted by its weight."""
-    left = sum(weight for _, weight in pairs) / 2
-    for figure, weight in sorted(pairs):
-        left -= weight
-        if left <= 0:
-            return figure
-    return 0.0
-
-
 def strain(nodes: Iterable[Node], target: float) -> float:
-    """How far the node that the median try meets is from answering on time; above 1 it does not, or fails too much."""
+    """How far the median node in use is from answering on time; above 1 it does not, or fails too much."""
     used = [node for node in nodes if not node.out and node.tried >= 1]
-    late = middle([(n.took / n.good if n.good else 0.0, n.tried) for n in used])
-    failing = middle([(n.errored / n.tried, n.tried) for n in used])
+    late = median(n.took / n.good if n.good else 0.0 for n in used) if used else 0.0
+    failing = median(n.errored / n.tried for n in used) if used else 0.0
     return max(late / (ON_TIME * target), failing / FAILING)
 
 
