--- a/oatcart/simhost/host.py
+++ b/oatcart/simhost/host.py
@@ -52,7 +52,6 @@
         seed=seed,
         kinds=[_req_kind(grade, place < len(home) and home[place], params.get("zones") or [])
                for place, grade in enumerate(grades)],
-        zones=len(params.get("zones") or [0]),
         roll=our.RollManners(
             must_ask=params.get("membershipMode") == "subscribe",
             ask_within=seconds(rules, "askWithin"),
