--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -30,13 +30,14 @@
 ORDINARY_PART = 0.5  # share of the queue and message caps for weight changes; the rest is kept for urgent orders
 LEVELS_PART = 0.75  # the same for levels: weight changes must not keep a cut from the proxies while the fleet drowns
 # Zones
-NEAR, NEAR_PRICE = 20, 1.03  # near nodes' scores count so many times, where crossing all day costs 3 points or more
-LEAN_FROM, LEAN_BEYOND = 0.8, 1.2  # strain of a zone, and that many times the others', from which others make room
+NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing all day costs 8 points or more
+LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and from which near is no better
 LEAN_FALL, LEAN_RISE = 0.7, 1.06  # of a zone's part a second: out in some seconds, back in half a minute
 LEAN_LEAST = 0.05  # smallest lean: a zone still gets enough tries to be known
 # Ramp
 RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
 COLD_MARGIN = 0.25  # part used of what a cold node stands: half for the two-choice pick, half for others' proxies
+COLD_LETS = 2.0  # part let in of what a pool surely does while cold: usual load fills half of a warm one
 # What is heard
 FORGET = 3.0  # s; time constant of durations and errors: about three reports, so one odd report does not decide
 LOAD_STEP = 0.4  # share of a new load report taken over: two or three reports make a figure
@@ -459,16 +460,21 @@
             ratio = node.nominal / nominal if self.roll.nominal_told else 1.0
             node.score = sums.get(id(node), average) * ratio
 
+    def bound(self) -> set[int]:
+        """The zones that some kinds cannot leave."""
+        return {zone for table in self.tables.values() for zone in table.zones}
+
     def lean_zones(self) -> None:
-        """Open tables leave a zone that some kinds are bound to and that is under more strain than the rest."""
-        for zone in sorted({zone for table in self.tables.values() for zone in table.zones}):
-            here = strain((n for n in self.pool().values() if n.zone == zone), self.target())
-            rest = strain((n for n in self.pool().values() if n.zone != zone), self.target())
-            lean = self.lean.get(zone, 1.0)
-            if here > LEAN_FROM and here > LEAN_BEYOND * rest:
-                self.lean[zone] = max(LEAN_LEAST, lean * LEAN_FALL)
-            elif here < LEAN_FROM:
-                self.lean[zone] = min(1.0, lean * LEAN_RISE)
+        """Under more strain than the rest a zone loses its nearness, and free kinds leave it to those bound to it."""
+        bound, ready, target = self.bound(), self.pool().values(), self.target()
+        for zone in sorted((bound | {table.near for table in self.tables.values()}) - {-1}):
+            here = strain((node for node in ready if node.zone == zone), target)
+            rest = strain((node for node in ready if node.zone != zone), target)
+            limit = LEAN_FROM if zone in bound else NEAR_FROM
+            if here > max(limit, rest):
+                self.lean[zone] = max(LEAN_LEAST, self.lean.get(zone, 1.0) * LEAN_FALL)
+            elif here < limit:
+                self.lean[zone] = min(1.0, self.lean.get(zone, 1.0) * LEAN_RISE)
 
     def warmth(self, node: Node) -> float:
         """The share of its capacity that a node surely has by now, however slowly it climbs."""
@@ -482,10 +488,14 @@
         pool = self.pool(table.zones)
         want = {place: max(1, round(node.score * ramp(self.now - node.eased_at))) for place, node in pool.items()}
         self.spare_cold(pool, want)
+        bound = self.bound()
         for place in want if not table.zones else ():
             node = pool[place]
-            near = NEAR if node.zone == table.near and self.warmth(node) >= 1.0 else 1
-            want[place] = max(1, round(want[place] * near * self.lean.get(node.zone, 1.0)))
+            lean = self.lean.get(node.zone, 1.0)
+            part = lean if node.zone in bound else 1.0
+            if node.zone == table.near and self.warmth(node) >= 1.0:
+                part *= 1.0 + (NEAR - 1) * lean
+            want[place] = max(1, round(want[place] * part))
         return want
 
     def spare_cold(self, pool: dict[int, Node], want: dict[int, int]) -> None:
@@ -527,7 +537,8 @@
 
     def set_levels(self, table: Table) -> None:
         """Under strain let in less, least value for its response target first; further tries stop before."""
-        strained = strain(self.pool(table.zones).values(), self.target())
+        pool = [node for node in self.pool(table.zones).values() if not node.out]
+        strained = strain(pool, self.target())
         work = {kind: self.kinds[kind].response_target * sum(p.rates.get(kind, 0.0) for p in table.proxies.values())
                 for kind in table.kinds}
         done = sum(max(0.0, work[kind] * table.levels.get(kind, (1.0, 0))[0] - self.kinds[kind].response_target
@@ -540,12 +551,13 @@
             table.share = max(min(table.share, least), table.share * max(CUT_MOST, 1.0 / strained))
         elif strained < CALM:
             table.share = min(1.0, table.share + GIVE_BACK)
-        left = table.share * sum(work.values())
+        share = min(table.share, COLD_LETS * sum(self.warmth(node) for node in pool) / max(1, len(pool)))
+        left = share * sum(work.values())
         for kind in sorted(work, key=lambda k: -self.kinds[k].value / self.kinds[k].response_target):
-            cut = table.share < 1.0 and work[kind] and self.admitting != our.NOT_AT_ALL
+            cut = share < 1.0 and work[kind] and self.admitting != our.NOT_AT_ALL
             level = max(LEVEL_LEAST, min(1.0, left / work[kind])) if cut else 1.0
             left = max(0.0, left - work[kind] * level)
-            calm = table.share >= 1.0 and strained < 1.0 and self.kinds[kind].repeat == our.REPLAYABLE
+            calm = share >= 1.0 and strained < 1.0 and self.kinds[kind].repeat == our.REPLAYABLE
             tries = our.AFTER_ANY if calm else our.AFTER_PROOF
             old = table.levels.get(kind, (-1.0, -1))
             if tries == old[1] and (level == old[0] or level < 1.0 and abs(level - old[0]) < LEVEL_STEP):
