--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -541,14 +541,10 @@
         strained = strain(pool, self.target())
         work = {kind: self.kinds[kind].response_target * sum(p.rates.get(kind, 0.0) for p in table.proxies.values())
                 for kind in table.kinds}
-        done = sum(max(0.0, work[kind] * table.levels.get(kind, (1.0, 0))[0] - self.kinds[kind].response_target
-                       * sum(p.lost.get(kind, 0.0) for p in table.proxies.values())) for kind in work)
-        table.best = max(table.best * BEST_FADES, done)
-        least = min(1.0, LEVEL_LEAST + BEST_PART * table.best / max(1e-9, sum(work.values())))
         makes_room = any(self.lean.get(zone, 1.0) > LEAN_LEAST for zone in table.zones)  # others leave it first
         if strained > 1.0 and not makes_room and self.now - table.cut_at >= CUT_EVERY:
             table.cut_at = self.now
-            table.share = max(min(table.share, least), table.share * max(CUT_MOST, 1.0 / strained))
+            table.share = max(LEVEL_LEAST, table.share * max(CUT_MOST, 1.0 / strained))
         elif strained < CALM:
             table.share = min(1.0, table.share + GIVE_BACK)
         share = min(table.share, COLD_LETS * sum(self.warmth(node) for node in pool) / max(1, len(pool)))
