Silence is counted over whole rounds; first scenarios

Cause, found by a scenario: answers were counted line by line, so the first node of the last report before a pause seemed to have missed all that came after it in the same round, and was withdrawn when reports were late.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -1,8 +1,8 @@
 """All decisions of an oatcart conductor.
 
-A host makes one `Conductor` with the limits it is handed at its start, and calls `round(now, arrivals, orders)`
-once a round with all that came in; decisions go straight into `orders`. What arrivals look like, the limits
-and the order writer stand in `oatcart/interface.py`. The design and each departure: `docs/design.md`.
+A host makes one `Conductor` with the limits it is handed, and calls `round(now, arrivals, orders)` once a
+round with all that came in; decisions go straight into `orders`. What arrivals look like, the limits and
+the order writer stand in `oatcart/interface.py`. The design and each departure: `docs/design.md`.
 """
 
 from collections import deque
@@ -13,8 +13,8 @@
 
 from oatcart import interface as our
 
-# The paper's percentages (AADLB, section 3.3); CPU and RAM together, since one load figure is told.
-LOAD_PART, TREND_PART, DURATION_PART, SENT_PART, RECEIVED_PART, ERROR_PART = 0.30, 0.20, 0.20, 0.10, 0.10, 0.10
+# The paper's percentages (AADLB, section 3.3); CPU and RAM as one load, bytes sent and received as one.
+LOAD_PART, TREND_PART, DURATION_PART, BYTES_PART, ERROR_PART = 0.30, 0.20, 0.20, 0.20, 0.10
 IDLE_LOAD = 10.0  # percent; the paper's example: below it a load scores 100
 QUICK = 0.2  # s; the paper's cutoff for a duration that scores 100
 SLOW_COST = 200.0  # points a second; the paper's 20 points for each 0.1 s beyond the cutoff
@@ -27,39 +27,40 @@
 RESEND_OVER = 5.0  # points; the design's threshold, a move below it is within the noise of the reports
 LEANED_OVER = 0.1  # share of a standing weight; the same threshold for weights far above 100
 ACK_WAIT = 2.0  # s; the design's longest wait for most of a table's proxies
-ORDINARY_PART = 0.5  # share of the queue and message caps for weight changes; the rest is kept for urgent orders
-LEVELS_PART = 0.75  # the same for levels: weight changes must not keep a cut from the proxies while the fleet drowns
+ORDINARY_PART = 0.5  # share of the queue and message caps for weight changes; the rest is for urgent orders
+LEVELS_PART = 0.75  # the same for levels: weight changes must not hold up a cut while the fleet drowns
 # Zones
-NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing all day costs 8 points or more
-LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and from which near is no better
+NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing costs 8 points or more
+LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
 LEAN_FALL, LEAN_RISE = 0.7, 1.06  # of a zone's part a second: out in some seconds, back in half a minute
 LEAN_LEAST = 0.05  # smallest lean: a zone still gets enough tries to be known
 # Ramp
 RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
-COLD_MARGIN = 0.25  # part used of what a cold node stands: half for the two-choice pick, half for others' proxies
+COLD_MARGIN = 0.25  # part used of what a cold node stands: half for two draws, half for others' proxies
 COLD_LETS = 2.0  # part let in of what a pool surely does while cold: usual load fills half of a warm one
 # What is heard
-FORGET = 3.0  # s; time constant of durations and errors: about three reports, so one odd report does not decide
+FORGET = 3.0  # s; time constant of durations and errors: about three reports, so one odd one does not decide
 LOAD_STEP = 0.4  # share of a new load report taken over: two or three reports make a figure
-ROOM_AT_START = 8.0  # reqs; what a node is taken to hold on time until it has shown it, replaced within seconds
+ROOM_AT_START = 8.0  # reqs; what a node is taken to hold on time until seconds later it has shown it
 ROOM_FALL = 0.3  # share of the way down to what it held when it answered late
 ON_TIME = 0.5  # share of the response target: a mean duration above it leaves the tail no room
 # Health
-SICK_RATIO, SICK_TRIES = 0.35, 8.0  # share errored beyond the others', and tries: chance alone won't reach both
+SICK_RATIO, SICK_TRIES = 0.35, 8.0  # share errored beyond the others', and tries: chance won't reach both
 SILENT_ANSWERS = 10.0  # answers a node should have given by its share and did not: e**-10 by chance
+SHARE_STEP = 0.3  # part of a new share of the answers taken over: some reports make a figure
 SILENT_PERIODS = 2.5  # report periods; lines of one period may come in two portions
-OUT_MOST = 0.5  # share of a pool that evidence alone may withdraw; beyond it the fault is likely the observer's
+OUT_MOST = 0.5  # share of a pool that evidence may withdraw; beyond it the fault is likely the observer's
 HOLD, HOLD_MOST = 4.0, 30.0  # s; first wait of a withdrawn node, doubled each time up to the longest
 WELL_FOR = 30.0  # s; after so long in use an earlier withdrawal is forgotten
 PASSES = 2  # probes in a row that must be answered before a way back
 PROBE_EVERY = 1.0  # s; for withdrawn nodes only, a few probes a second at the worst
 # Admission
-CUT_MOST, CUT_EVERY = 0.75, 2.5  # share kept at a cut; s between cuts, until reports show what the last one did
-GIVE_BACK, CALM = 0.04, 0.8  # share given back a second, and the strain below which it is: down fast, up slowly
+CUT_MOST, CUT_EVERY = 0.75, 2.5  # share kept at a cut; s between cuts, until reports show the last one
+SHARE_LEAST = 0.4  # share of the work offered that no cut goes below: late reports must not empty the fleet
+GIVE_BACK, CALM = 0.04, 0.8  # share given back a second, and the strain below which it is
 FAILING = 0.15  # share of tries errored at the median node that counts as full strain
 LEVEL_LEAST = 0.05  # share of a kind always let in, so that its durations stay known
 LEVEL_STEP = 0.04  # smallest change of a level worth a line to every proxy
-BEST_PART, BEST_FADES = 0.6, 0.98  # part of the best work done that is always let in, and its fading a second
 RATE_OPEN = 1e6  # reqs a second; a rate that holds nothing back
 # The roll
 ASK_AGAIN, ASK_MOST = 0.5, 4.0  # s; first and longest wait after a failed call
@@ -83,6 +84,7 @@
     took: float = 0.0
     tried: float = 0.0
     errored: float = 0.0
+    answered: int = 0  # answers heard since the last look
     share: float = 0.0  # of the answers heard
     answers_then: float = 0.0  # answers of all nodes when this one last answered, and when that was
     answered_at: float = 0.0
@@ -90,7 +92,7 @@
     out: bool = False  # withdrawn on evidence
     out_at: float = LONG_AGO
     hold: float = HOLD
-    passes: int = 0
+    passes: int = 0  # probes answered in a row, and when the last one was sent
     probed_at: float = LONG_AGO
     shut: bool = False  # the standing order at the proxies
 
@@ -102,7 +104,6 @@
     sent: deque = field(default_factory=deque)
     due: float = 0.0
     rates: dict = field(default_factory=dict)
-    lost: dict = field(default_factory=dict)  # of those let in, the ones without an answer
 
 
 @dataclass(slots=True)
@@ -120,7 +121,6 @@
     changed_at: float = LONG_AGO
     share: float = 1.0  # of the work offered that is let in
     cut_at: float = LONG_AGO
-    best: float = 0.0  # the most work done, in reqs a second times their response targets
     levels: dict = field(default_factory=dict)  # by kind: share let in, way of trying again
 
 
@@ -129,37 +129,25 @@
 
 
 def weighted_sum(load: float, rise: float, took: float, ratio: float) -> float:
-    """The design's sum of scores, from percent, points, seconds and the share errored.
-
-    >>> weighted_sum(9, 0, 0.2, 0), weighted_sum(70, 10, 0.3, 0.02)
-    (80.0, 51.0)
-    """
+    """The design's sum of scores, from percent, points, seconds and the share errored."""
     return (LOAD_PART * (100.0 if load < IDLE_LOAD else clamp(100.0 - load)) + TREND_PART * clamp(FLAT - rise)
             + DURATION_PART * clamp(100.0 - max(0.0, took - QUICK) * SLOW_COST)
-            + (SENT_PART + RECEIVED_PART) * FLAT + ERROR_PART * clamp(100.0 - ratio * ERROR_COST))
+            + BYTES_PART * FLAT + ERROR_PART * clamp(100.0 - ratio * ERROR_COST))
 
 
 def ramp(since: float) -> float:
-    """Share of its weight that a node gets so long after its start or way back.
-
-    >>> ramp(0), ramp(5), ramp(60)
-    (0.25, 0.625, 1.0)
-    """
+    """Share of its weight that a node gets so long after its start or way back."""
     return min(1.0, RAMP_FROM + (1.0 - RAMP_FROM) * max(0.0, since) / RAMP_OVER)
 
 
 def errors(nodes: Iterable[Node]) -> float:
     """The share of tries at some nodes that errored."""
-    nodes = list(nodes)
-    return sum(node.errored for node in nodes) / max(1.0, sum(node.tried for node in nodes))
+    pairs = [(node.errored, node.tried) for node in nodes]
+    return sum(errored for errored, _ in pairs) / max(1.0, sum(tried for _, tried in pairs))
 
 
 def exposure(weight: float, others: list[float]) -> float:
-    """How often a line is one of two drawn by weight: nearly always where one other line is heavy.
-
-    >>> exposure(1, [99]), round(exposure(1, [50, 50]), 3)
-    (1.0, 0.029)
-    """
+    """How often a line is one of two drawn by weight: nearly always where one other line is heavy."""
     whole = weight + sum(others)
     return weight / whole + sum(other / whole * weight / (whole - other) for other in others)
 
@@ -179,10 +167,6 @@
         self.limits = limits
         self.queued = self.at = 0.0
 
-    def open(self, now: float) -> None:
-        self.queued = max(0.0, self.queued - (now - self.at) * self.limits.line_rate)
-        self.at = now
-
     def claim(self, proxies: dict[int, Proxy], lines: int, part: float) -> bool:
         """Book so many lines to each of these proxies, if that keeps within this part of the caps."""
         most = self.limits.messages_most
@@ -199,12 +183,14 @@
             proxy.due += lines
         return True
 
-    def close(self, proxies: dict[int, Proxy]) -> None:
-        """All that is due leaves as one message for each proxy."""
+    def turn(self, now: float, proxies: dict[int, Proxy]) -> None:
+        """A new round: what was due in the last one has left as one message for each proxy."""
         for proxy in proxies.values():
             if proxy.due:
                 proxy.sent.append(self.at)
                 proxy.due = 0.0
+        self.queued = max(0.0, self.queued - (now - self.at) * self.limits.line_rate)
+        self.at = now
 
 
 class Conductor:
@@ -229,7 +215,7 @@
     def round(self, now: float, arrivals: our.Arrivals, orders: our.OrderWriter) -> None:
         """Take in all that came, then decide what is due."""
         self.now, self.orders = now, orders
-        self.channel.open(now)
+        self.channel.turn(now, self.proxies)
         for name, *fields in arrivals:
             getattr(self, "take_" + name)(*fields)
         self.ask_roll()
@@ -239,7 +225,6 @@
         if self.marked:
             orders.ask_ack(self.mark, False)
             self.marked = False
-        self.channel.close(self.proxies)
         if self.woken:
             self.woken = False
             orders.wake(LOOK_EVERY)
@@ -248,7 +233,7 @@
         self.woken = True
 
     def look(self) -> None:
-        """Health and shutting out at each look; scores and levels once a second; tables as their pace allows."""
+        """Health at each look; scores and levels once a second; tables as their pace allows."""
         self.judge()
         self.shut_out()
         if self.now >= self.rescore_at:
@@ -260,8 +245,6 @@
         for table in self.tables.values():
             self.publish(table)
 
-    # The roll
-
     def ask_roll(self) -> None:
         """Follow the roll, asking again with growing waits; now and then fetch it whole."""
         if not self.roll.must_ask or self.now < self.ask_at:
@@ -288,8 +271,7 @@
                 self.forget(node, started)
 
     def node(self, place: int) -> Node:
-        while len(self.nodes) <= place:
-            self.nodes.append(Node())
+        self.nodes += [Node() for _ in range(place + 1 - len(self.nodes))]
         return self.nodes[place]
 
     def forget(self, node: Node, eased_at: float) -> None:
@@ -297,15 +279,13 @@
         node.good = node.took = node.tried = node.errored = 0.0
         node.load, node.eased_at = None, eased_at
         node.loads.clear()
-        node.answers_then, node.answered_at = self.answers, self.now
+        node.answers_then, node.answered_at, node.answered = self.answers, self.now, 0
 
     def pool(self, zones: tuple[int, ...] = ()) -> dict[int, Node]:
         """The ready nodes, of some zones or of all."""
         return {place: node for place, node in enumerate(self.nodes)
                 if node.state == our.READY and (not zones or node.zone in zones)}
 
-    # Proxies
-
     def take_joined(self, proxy: int, zone: int, usual: float, blank: bool) -> None:
         """Bind it at once to the tables of its zone: one for each set of nodes open to some kinds."""
         self.take_left(proxy)
@@ -317,10 +297,12 @@
             open_to = ((zone,), -1) if req.home_zone else (req.zones, near)
             groups[open_to] = (*groups.get(open_to, ()), kind)
         for (zones, near), kinds in groups.items():
-            table = self.tables.setdefault((zones, near), Table(len(self.tables), kinds, zones, near))
+            fresh = Table(len(self.tables), kinds, zones, near)
+            table = self.tables.setdefault((kinds, zones, near), fresh)
             self.publish(table)
             self.orders.bind(table.place, proxy, sum(1 << kind for kind in kinds))
-            self.channel.claim(joined, 1 + len(table.lines) + len(table.levels) + sum(n.shut for n in self.nodes), 1.0)
+            lines = 1 + len(table.lines) + len(table.levels) + sum(node.shut for node in self.nodes)
+            self.channel.claim(joined, lines, 1.0)
             table.proxies |= joined
 
     def take_left(self, proxy: int) -> None:
@@ -336,18 +318,19 @@
 
     def take_came(self, proxy: int, kind: int, count: int, errored: int, over: float) -> None:
         if proxy in self.proxies and over > 0:
-            for seen, figure in ((self.proxies[proxy].rates, count), (self.proxies[proxy].lost, errored)):
-                seen[kind] = seen.get(kind, figure / over) * 0.5 + figure / over * 0.5
+            rates = self.proxies[proxy].rates
+            rates[kind] = (rates.get(kind, count / over) + count / over) / 2
+
+    def rate(self, proxies: dict[int, Proxy], kind: int) -> float:
+        return sum(proxy.rates.get(kind, 0.0) for proxy in proxies.values())
 
     def target(self) -> float:
         """The mean response target of what comes, in seconds."""
-        come = [sum(p.rates.get(kind, 0.0) for p in self.proxies.values()) for kind in range(len(self.kinds))]
+        come = [self.rate(self.proxies, kind) for kind in range(len(self.kinds))]
         if not sum(come):
             return min((req.response_target for req in self.kinds), default=1.0)
         return sum(rate * req.response_target for rate, req in zip(come, self.kinds)) / sum(come)
 
-    # What is heard of nodes
-
     def take_met(self, place: int, zone: int, over: float, took: float, errored: int, tried: int,
                  load: our.Load) -> None:
         node = self.node(place)
@@ -358,8 +341,7 @@
             self.answers += good
             node.good += good
             node.took += good * took
-            node.share += 0.3 * (min(1.0, good / max(good, self.answers - node.answers_then)) - node.share)
-            node.answers_then, node.answered_at = self.answers, self.now
+            node.answered += good
         percent = self.percent(node, load)
         if percent is not None:
             node.load = percent if node.load is None else node.load + LOAD_STEP * (percent - node.load)
@@ -382,19 +364,22 @@
             node = self.node(place)
             node.passes = node.passes + 1 if outcome == our.ANSWERED else 0
 
-    # Health
-
     def judge(self) -> None:
         """Withdraw on evidence, by comparison with the rest; let back after a wait and good probes."""
         ready = self.pool()
         for place, node in ready.items():
+            if node.answered:
+                part = node.answered / (self.answers - node.answers_then)
+                node.share += SHARE_STEP * (part - node.share)
+                node.answers_then, node.answered_at, node.answered = self.answers, self.now, 0
             if node.out:
                 self.let_back(place, node)
             elif self.sick(node, ready.values()) or self.silent(node):
                 self.take_out(place, node)
         for node in self.nodes:
-            for figure in ("good", "took", "tried", "errored"):
-                setattr(node, figure, getattr(node, figure) * (1.0 - LOOK_EVERY / FORGET))
+            keep = 1.0 - LOOK_EVERY / FORGET
+            node.good, node.took = node.good * keep, node.took * keep
+            node.tried, node.errored = node.tried * keep, node.errored * keep
         for table in self.tables.values():  # no proxy is left without a line by evidence alone
             pool = self.pool(table.zones).values()
             if all(node.out for node in pool):
@@ -402,7 +387,7 @@
                     node.out = False
 
     def sick(self, node: Node, ready: Iterable[Node]) -> bool:
-        """Errors far above the rest's, of the fleet and of its zone: quick failure, refusal, not a zone that drowns."""
+        """Errors far above the rest's, of fleet and zone: quick failure, but not a zone that drowns."""
         if node.tried < SICK_TRIES:
             return False
         rest = [other for other in ready if other is not node and not other.out]
@@ -410,7 +395,7 @@
         return node.errored / node.tried > SICK_RATIO + usual
 
     def silent(self, node: Node) -> bool:
-        """No answer while the rest gave many: a hang, a dead machine, a cut. Late reports alone never show so."""
+        """No answer while the rest gave many: a hang, a dead machine, a cut; late reports never show so."""
         missed = (self.answers - node.answers_then) * node.share * ramp(self.now - node.eased_at)
         return missed > SILENT_ANSWERS and self.now - node.answered_at > SILENT_PERIODS * self.period
 
@@ -438,15 +423,13 @@
             shut = node.out or node.state != our.READY
             if shut == node.shut or not self.channel.claim(self.proxies, 1, 1.0):
                 continue
-            for table in self.tables.values() if not shut else ():  # lines come down to the ramp before it is let in
-                self.publish(table, hurry=True)
+            for table in self.tables.values() if not shut else ():
+                self.publish(table, hurry=True)  # its lines come down to the ramp before it is let in
             node.shut = shut
             self.orders.withdraw(place, shut)
 
-    # The ordinary path: scores and tables
-
     def rescore(self) -> None:
-        """The design's scores; a node with no reports gets the average, a listed weight scales by its ratio."""
+        """The design's scores; no reports get the average, a listed weight scales by its ratio."""
         ready = self.pool().values()
         sums = {}
         for node in ready:
@@ -465,7 +448,7 @@
         return {zone for table in self.tables.values() for zone in table.zones}
 
     def lean_zones(self) -> None:
-        """Under more strain than the rest a zone loses its nearness, and free kinds leave it to those bound to it."""
+        """A zone under more strain than the rest loses its nearness, and free kinds leave it."""
         bound, ready, target = self.bound(), self.pool().values(), self.target()
         for zone in sorted((bound | {table.near for table in self.tables.values()}) - {-1}):
             here = strain((node for node in ready if node.zone == zone), target)
@@ -486,7 +469,8 @@
     def wanted(self, table: Table) -> dict[int, int]:
         """The table as it should stand: the rounded score of each listed node, eased in after a start."""
         pool = self.pool(table.zones)
-        want = {place: max(1, round(node.score * ramp(self.now - node.eased_at))) for place, node in pool.items()}
+        want = {place: max(1, round(node.score * ramp(self.now - node.eased_at)))
+                for place, node in pool.items()}
         self.spare_cold(pool, want)
         bound = self.bound()
         for place in want if not table.zones else ():
@@ -499,8 +483,8 @@
         return want
 
     def spare_cold(self, pool: dict[int, Node], want: dict[int, int]) -> None:
-        """Cold nodes get what they surely stand beside warm ones, or no line where two draws meet it too often."""
-        warm = [want[place] for place, node in pool.items() if not node.out and self.warmth(node) >= 1.0]
+        """Cold nodes get what they surely stand, or no line where two draws would meet it too often."""
+        warm = [want[at] for at, node in pool.items() if not node.out and self.warmth(node) >= 1.0]
         part = self.cold.fall_multiple * COLD_MARGIN * max(0.05, 1.0 - errors(pool.values()))
         most = sum(warm) / len(warm) if warm else 100.0
         cold = {place: part * self.warmth(node) for place, node in pool.items() if self.warmth(node) < 1.0}
@@ -533,18 +517,15 @@
                 self.mark, self.marked = (self.mark + 1) % 0x10000, True
             table.mark, table.waiting, table.changed_at = self.mark, set(table.proxies), self.now
 
-    # Admission and further tries
-
     def set_levels(self, table: Table) -> None:
         """Under strain let in less, least value for its response target first; further tries stop before."""
         pool = [node for node in self.pool(table.zones).values() if not node.out]
         strained = strain(pool, self.target())
-        work = {kind: self.kinds[kind].response_target * sum(p.rates.get(kind, 0.0) for p in table.proxies.values())
-                for kind in table.kinds}
-        makes_room = any(self.lean.get(zone, 1.0) > LEAN_LEAST for zone in table.zones)  # others leave it first
-        if strained > 1.0 and not makes_room and self.now - table.cut_at >= CUT_EVERY:
+        work = {k: self.rate(table.proxies, k) * self.kinds[k].response_target for k in table.kinds}
+        others_leave = any(self.lean.get(zone, 1.0) > LEAN_LEAST for zone in table.zones)
+        if strained > 1.0 and not others_leave and self.now - table.cut_at >= CUT_EVERY:
             table.cut_at = self.now
-            table.share = max(LEVEL_LEAST, table.share * max(CUT_MOST, 1.0 / strained))
+            table.share = max(SHARE_LEAST, table.share * max(CUT_MOST, 1.0 / strained))
         elif strained < CALM:
             table.share = min(1.0, table.share + GIVE_BACK)
         share = min(table.share, COLD_LETS * sum(self.warmth(node) for node in pool) / max(1, len(pool)))
@@ -555,10 +536,9 @@
             left = max(0.0, left - work[kind] * level)
             calm = share >= 1.0 and strained < 1.0 and self.kinds[kind].repeat == our.REPLAYABLE
             tries = our.AFTER_ANY if calm else our.AFTER_PROOF
-            old = table.levels.get(kind, (-1.0, -1))
-            if tries == old[1] and (level == old[0] or level < 1.0 and abs(level - old[0]) < LEVEL_STEP):
-                continue
-            if self.channel.claim(table.proxies, 1, LEVELS_PART):
+            old, way = table.levels.get(kind, (-1.0, -1))
+            same = tries == way and (level == old or level < 1.0 and abs(level - old) < LEVEL_STEP)
+            if not same and self.channel.claim(table.proxies, 1, LEVELS_PART):
                 table.levels[kind] = (level, tries)
                 self.orders.admit(table.place, 1 << kind, self.quota(table, kind, level), tries)
 
@@ -568,9 +548,6 @@
             return RATE_OPEN if self.admitting == our.BY_RATE else level
         rates = sorted(proxy.rates.get(kind, 0.0) for proxy in table.proxies.values())
         left = level * sum(rates)
-        for place, rate in enumerate(rates):
-            even = left / (len(rates) - place)
-            if rate >= even:
-                return even
-            left -= rate
-        return RATE_OPEN
+        while rates and rates[0] < left / len(rates):
+            left -= rates.pop(0)
+        return left / len(rates) if rates else RATE_OPEN
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,180 @@
+"""Plays the scenarios of `tests/scenarios` on the decision module; the notation is in `tests/README.md`."""
+
+import operator
+from pathlib import Path
+
+import pytest
+
+from oatcart import interface as our
+from oatcart.policy import Conductor
+
+SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+REPEATS = {"replayable": our.REPLAYABLE, "uniqued": our.UNIQUED, "non-replayable": our.NON_REPLAYABLE}
+PLAIN = {"must_ask": 0, "line_rate": 1000, "head": 4, "queue_most": 2000, "messages_most": 0, "messages_over": 10,
+         "warm_after": 16, "share_at_start": 0.2, "fall_multiple": 4, "fall_after": 3, "crossing_price": 0,
+         "may_probe": 1, "nominal_told": 0, "rate": 0}
+COMPARE = {"=": operator.eq, "<": operator.lt, ">": operator.gt}
+
+
+class Orders:
+    """Writes orders as words, and keeps the tables as proxies would."""
+
+    def __init__(self):
+        self.said, self.tables, self.mark_now = [], {}, 0
+
+    def line(self, table, node, weight):
+        self.said.append((f"line t{table} n{node}", weight))
+        self.tables[table, node] = weight
+
+    def bind(self, table, proxy, kinds):
+        self.said.append((f"bind t{table} p{proxy}", kinds))
+
+    def withdraw(self, node, out):
+        self.said.append((f"{'shut' if out else 'lift'} n{node}", 1))
+
+    def admit(self, table, kinds, level, tries):
+        for kind in range(16):
+            if kinds >> kind & 1:
+                self.said.append((f"admit t{table} k{kind} w{tries}", level))
+
+    def ask_ack(self, mark, everyone):
+        self.said.append(("mark", mark))
+        self.mark_now = mark
+
+    def probe(self, node):
+        self.said.append((f"probe n{node}", 1))
+
+    def follow(self, on):
+        self.said.append(("follow", 1))
+
+    def fetch_roll(self):
+        self.said.append(("fetch", 1))
+
+    def wake(self, after):
+        self.said.append(("wake", after))
+
+    def note(self, text):
+        pass
+
+
+def conductor(kinds, cfg):
+    """A conductor with the plain settings and what a scenario sets."""
+    pick = lambda record: record(**{name: cfg[name] for name in record._fields if name in cfg})
+    return Conductor(seed=1, kinds=kinds or [our.ReqKind(1, 1, 2, our.REPLAYABLE)], roll=pick(our.RollManners),
+                     channel=pick(our.ChannelLimits), cold=pick(our.ColdLimits), report_period=1.0,
+                     admitting=our.BY_RATE if cfg["rate"] else our.BY_SHARE,
+                     crossing_price=cfg["crossing_price"], may_probe=bool(cfg["may_probe"]))
+
+
+def entry(word):
+    """`2:1@12*3~`: node 2 of zone 1, started at 12, nominal 3, draining."""
+    state = {"-": our.GONE, "~": our.DRAINING}.get(word[-1], our.READY)
+    word, _, nominal = word.rstrip("-~").partition("*")
+    word, _, started = word.partition("@")
+    node, zone = word.split(":")
+    return int(node), int(zone), float(started or 0), state, float(nominal or 1)
+
+
+def arrival(words, orders):
+    """One line of a scenario as an arrival."""
+    match words:
+        case ["roll", *rest]:
+            return "listed", True, [entry(word) for word in rest]
+        case ["news", *rest]:
+            return "listed", False, [entry(word) for word in rest]
+        case ["join", proxy, zone]:
+            return "joined", int(proxy), int(zone[1:]), 10.0, True
+        case ["left", proxy]:
+            return "left", int(proxy)
+        case ["met", node, "took", took, "err", errored, "of", tried, load, value]:
+            told = (float(value), None, None) if load == "held" else (None, float(value), None)
+            return "met", int(node), 0, 1.0, float(took), int(errored), int(tried), told
+        case ["met", node, "took", took, "err", errored, "of", tried]:
+            return "met", int(node), 0, 1.0, float(took), int(errored), int(tried), (None, None, None)
+        case ["came", proxy, kind, count]:
+            return "came", int(proxy), int(kind[1:]), int(count), 0, 1.0
+        case ["ack", proxy]:
+            return "applied", int(proxy), orders.mark_now, 0.1
+        case ["probe", node, outcome]:
+            return "probed", int(node), our.ANSWERED if outcome == "ok" else our.SILENT, 0.1, (None, None, None)
+        case ["unlisted"]:
+            return ("unlisted",)
+    raise ValueError(" ".join(words))
+
+
+def unrolled(text):
+    """The lines of a scenario, repeated ones written out."""
+    lines = [line.split("#")[0].split() for line in text.splitlines()]
+    now, out = 0.0, []
+    while lines:
+        words = lines.pop(0)
+        if words[:1] == ["at"]:
+            now = float(words[1])
+        if words[:1] == ["until"]:
+            end = lines.index(["end"])
+            body, lines = lines[:end], lines[end + 1:]
+            while now < float(words[1]):
+                now += float(words[3])
+                out += [["at", str(now)], *body]
+        elif words:
+            out.append(words)
+    return out
+
+
+def play(text):
+    """Play a scenario; the first line that is not met fails."""
+    cfg, kinds, orders, told, one, checked = dict(PLAIN), [], Orders(), None, None, False
+
+    def run():
+        nonlocal one, told
+        if told is not None:
+            one = one or conductor(kinds, cfg)
+            one.round(now, [*told, ("woke",)], orders)
+            told = None
+
+    for words in unrolled(text):
+        match words:
+            case ["set", name, value]:
+                cfg[name] = float(value)
+            case ["kind", value, target, repeat, *rest]:
+                zones = tuple(map(int, rest[1].split(","))) if rest[:1] == ["zones"] else ()
+                kinds.append(our.ReqKind(float(value), float(target), 2 * float(target), REPEATS[repeat],
+                                         rest == ["home"], zones))
+            case ["at", time]:
+                run()
+                now, told = float(time), []
+                if checked:
+                    orders.said, checked = [], False
+            case ["want" | "deny" | "table", *_]:
+                run()
+                checked = True
+                if words[0] == "table":
+                    found = [orders.tables.get((int(words[1][1:]), int(words[2][1:])), 0)]
+                    words = ["want", *words]
+                else:
+                    size = next((at for at, word in enumerate(words) if word in COMPARE), len(words))
+                    found = [value for name, value in orders.said if name == " ".join(words[1:size])]
+                if words[-2] in COMPARE:
+                    found = [value for value in found if COMPARE[words[-2]](value, float(words[-1]))]
+                assert bool(found) == (words[0] == "want"), f"at {now}: {' '.join(words)}; said {orders.said}"
+            case _:
+                told.append(arrival(words, orders))
+    run()
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
+def test_scenario(path):
+    play(path.read_text())
+
+
+def test_same_events_same_orders():
+    said = []
+    for _ in range(2):
+        one, orders = conductor([], PLAIN), Orders()
+        for turn in range(40):
+            met = [("met", node, 0, 1.0, 0.1 + node / 50, turn % 3, 10, (node + turn % 5, None, None))
+                   for node in range(8)]
+            roll = [("listed", True, [(node, node % 2, 0.0, our.READY, 1.0) for node in range(8)])]
+            one.round(turn / 2, [*(roll if turn % 9 == 0 else []), ("joined", turn % 4, 0, 1.0, True), *met], orders)
+        said.append(orders.said)
+    assert said[0] == said[1] and len(said[0]) > 100
