--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -16,8 +16,7 @@
 # The paper's percentages (AADLB, section 3.3); CPU and RAM as one load, bytes sent and received as one.
 LOAD_PART, TREND_PART, DURATION_PART, BYTES_PART, ERROR_PART = 0.30, 0.20, 0.20, 0.20, 0.10
 IDLE_LOAD = 10.0  # percent; the paper's example: below it a load scores 100
-QUICK = 0.2  # s; the paper's cutoff for a duration that scores 100
-SLOW_COST = 200.0  # points a second; the paper's 20 points for each 0.1 s beyond the cutoff
+QUICK, SLOW_COST = 0.2, 200.0  # s, points a second; the paper's cutoff, and 20 points for each 0.1 s beyond
 ERROR_COST = 1000.0  # points for all failing; the design's 10 points for 1%
 FLAT = 50.0  # points; a flat trend, and bytes that nobody reports
 TREND_OVER = 30  # s; the design's window for the trend, one figure a second
@@ -40,27 +39,23 @@
 COLD_LETS = 2.0  # part let in of what a pool surely does while cold: usual load fills half of a warm one
 # What is heard
 FORGET = 3.0  # s; time constant of durations and errors: about three reports, so one odd one does not decide
-LOAD_STEP = 0.4  # share of a new load report taken over: two or three reports make a figure
-ROOM_AT_START = 8.0  # reqs; what a node is taken to hold on time until seconds later it has shown it
-ROOM_FALL = 0.3  # share of the way down to what it held when it answered late
+STEP = 0.4  # part of a newly reported figure taken over: two or three reports make one
+ROOM, ROOM_FALL = 8.0, 0.3  # reqs a node is taken to hold on time until it shows it; step down when late
 ON_TIME = 0.5  # share of the response target: a mean duration above it leaves the tail no room
 # Health
 SICK_RATIO, SICK_TRIES = 0.35, 8.0  # share errored beyond the others', and tries: chance won't reach both
 SILENT_ANSWERS = 10.0  # answers a node should have given by its share and did not: e**-10 by chance
-SHARE_STEP = 0.3  # part of a new share of the answers taken over: some reports make a figure
 SILENT_PERIODS = 2.5  # report periods; lines of one period may come in two portions
 OUT_MOST = 0.5  # share of a pool that evidence may withdraw; beyond it the fault is likely the observer's
-HOLD, HOLD_MOST = 4.0, 30.0  # s; first wait of a withdrawn node, doubled each time up to the longest
-WELL_FOR = 30.0  # s; after so long in use an earlier withdrawal is forgotten
-PASSES = 2  # probes in a row that must be answered before a way back
-PROBE_EVERY = 1.0  # s; for withdrawn nodes only, a few probes a second at the worst
+HOLD, HOLD_MOST = 4.0, 30.0  # s; first wait of a withdrawn node, doubled each time within the longest
+PASSES, PROBE_EVERY = 2, 1.0  # probes in a row before a way back; s between them, as only such nodes get any
 # Admission
 CUT_MOST, CUT_EVERY = 0.75, 2.5  # share kept at a cut; s between cuts, until reports show the last one
 SHARE_LEAST = 0.4  # share of the work offered that no cut goes below: late reports must not empty the fleet
 GIVE_BACK, CALM = 0.04, 0.8  # share given back a second, and the strain below which it is
 FAILING = 0.15  # share of tries errored at the median node that counts as full strain
-LEVEL_LEAST = 0.05  # share of a kind always let in, so that its durations stay known
-LEVEL_STEP = 0.04  # smallest change of a level worth a line to every proxy
+LEVEL_LEAST, LEVEL_STEP = 0.05, 0.04  # share of a kind always let in; smallest change worth a line
+TRIES_UNDER = 0.45  # strain; above it a try cut off to make room for another one is mostly work thrown away
 RATE_OPEN = 1e6  # reqs a second; a rate that holds nothing back
 # The roll
 ASK_AGAIN, ASK_MOST = 0.5, 4.0  # s; first and longest wait after a failed call
@@ -79,7 +74,7 @@
     eased_at: float = LONG_AGO  # when its ramp began
     load: float | None = None  # percent
     loads: deque = field(default_factory=lambda: deque(maxlen=TREND_OVER))
-    room: float = ROOM_AT_START
+    room: float = ROOM
     good: float = 0.0  # answers, their durations, tries and errors of the last seconds
     took: float = 0.0
     tried: float = 0.0
@@ -160,12 +155,13 @@
     return max(late / (ON_TIME * target), failing / FAILING)
 
 
+@dataclass(slots=True)
 class Channel:
     """Counts lines and messages on their way, so that queue and message cap are kept."""
 
-    def __init__(self, limits: our.ChannelLimits) -> None:
-        self.limits = limits
-        self.queued = self.at = 0.0
+    limits: our.ChannelLimits
+    queued: float = 0.0
+    at: float = 0.0
 
     def claim(self, proxies: dict[int, Proxy], lines: int, part: float) -> bool:
         """Book so many lines to each of these proxies, if that keeps within this part of the caps."""
@@ -195,7 +191,6 @@
 
 class Conductor:
     """One conductor; see the head of this module."""
-
     def __init__(self, *, seed: int, kinds: list[our.ReqKind], roll: our.RollManners,
                  channel: our.ChannelLimits, cold: our.ColdLimits, report_period: float, admitting: str,
                  crossing_price: float, may_probe: bool) -> None:
@@ -207,6 +202,7 @@
         self.proxies: dict[int, Proxy] = {}
         self.tables: dict[tuple, Table] = {}
         self.lean: dict[int, float] = {}  # by zone: the part of its scores that open tables give it
+        self.bound: set[int] = set()  # the zones that some kinds cannot leave
         self.answers = 0.0  # heard since the start, of all nodes
         self.mark, self.marked = 0, False
         self.look_at = self.rescore_at = self.ask_at = self.fetch_at = LONG_AGO
@@ -342,22 +338,14 @@
             node.good += good
             node.took += good * took
             node.answered += good
-        percent = self.percent(node, load)
-        if percent is not None:
-            node.load = percent if node.load is None else node.load + LOAD_STEP * (percent - node.load)
-
-    def percent(self, node: Node, load: our.Load) -> float | None:
-        """The share of the cores in use, or what is held against what was held while answering on time."""
         held, busy, _ = load
+        if busy is None and held is not None:  # what is held, against what was held while answering on time
+            late = node.good and node.took / node.good > ON_TIME * self.target()
+            fall = ROOM_FALL * min(0.0, held - node.room)
+            node.room = max(1.0, node.room + fall) if late else max(node.room, held)
+            busy = held / node.room
         if busy is not None:
-            return 100.0 * busy
-        if held is None:
-            return None
-        if node.good and node.took / node.good > ON_TIME * self.target():
-            node.room = max(1.0, node.room + ROOM_FALL * min(0.0, held - node.room))
-        else:
-            node.room = max(node.room, held)
-        return 100.0 * held / node.room
+            node.load = 100.0 * busy if node.load is None else node.load + STEP * (100.0 * busy - node.load)
 
     def take_probed(self, place: int, outcome: int, took: float, load: our.Load) -> None:
         if outcome != our.TURNED_AWAY:
@@ -370,7 +358,7 @@
         for place, node in ready.items():
             if node.answered:
                 part = node.answered / (self.answers - node.answers_then)
-                node.share += SHARE_STEP * (part - node.share)
+                node.share += STEP * (part - node.share)
                 node.answers_then, node.answered_at, node.answered = self.answers, self.now, 0
             if node.out:
                 self.let_back(place, node)
@@ -404,9 +392,8 @@
             pool = self.pool(table.zones)
             if place in pool and sum(other.out for other in pool.values()) + 1 > OUT_MOST * len(pool):
                 return
-        node.hold = min(HOLD_MOST, node.hold * 2) if self.now - node.out_at < WELL_FOR + node.hold else HOLD
+        node.hold = min(HOLD_MOST, node.hold * 2) if self.now - node.out_at < HOLD_MOST + node.hold else HOLD
         node.out, node.out_at, node.passes = True, self.now, 0
-        self.orders.note(f"out {place}: {node.errored:.1f} of {node.tried:.1f} errored")
 
     def let_back(self, place: int, node: Node) -> None:
         node.eased_at = self.now
@@ -443,17 +430,14 @@
             ratio = node.nominal / nominal if self.roll.nominal_told else 1.0
             node.score = sums.get(id(node), average) * ratio
 
-    def bound(self) -> set[int]:
-        """The zones that some kinds cannot leave."""
-        return {zone for table in self.tables.values() for zone in table.zones}
-
     def lean_zones(self) -> None:
         """A zone under more strain than the rest loses its nearness, and free kinds leave it."""
-        bound, ready, target = self.bound(), self.pool().values(), self.target()
-        for zone in sorted((bound | {table.near for table in self.tables.values()}) - {-1}):
+        ready, target = self.pool().values(), self.target()
+        self.bound = {zone for table in self.tables.values() for zone in table.zones}
+        for zone in sorted((self.bound | {table.near for table in self.tables.values()}) - {-1}):
             here = strain((node for node in ready if node.zone == zone), target)
             rest = strain((node for node in ready if node.zone != zone), target)
-            limit = LEAN_FROM if zone in bound else NEAR_FROM
+            limit = LEAN_FROM if zone in self.bound else NEAR_FROM
             if here > max(limit, rest):
                 self.lean[zone] = max(LEAN_LEAST, self.lean.get(zone, 1.0) * LEAN_FALL)
             elif here < limit:
@@ -472,11 +456,10 @@
         want = {place: max(1, round(node.score * ramp(self.now - node.eased_at)))
                 for place, node in pool.items()}
         self.spare_cold(pool, want)
-        bound = self.bound()
         for place in want if not table.zones else ():
             node = pool[place]
             lean = self.lean.get(node.zone, 1.0)
-            part = lean if node.zone in bound else 1.0
+            part = lean if node.zone in self.bound else 1.0
             if node.zone == table.near and self.warmth(node) >= 1.0:
                 part *= 1.0 + (NEAR - 1) * lean
             want[place] = max(1, round(want[place] * part))
@@ -534,7 +517,7 @@
             cut = share < 1.0 and work[kind] and self.admitting != our.NOT_AT_ALL
             level = max(LEVEL_LEAST, min(1.0, left / work[kind])) if cut else 1.0
             left = max(0.0, left - work[kind] * level)
-            calm = False and strained < 0.6 and self.kinds[kind].repeat == our.REPLAYABLE
+            calm = share >= 1.0 and strained < TRIES_UNDER and self.kinds[kind].repeat == our.REPLAYABLE
             tries = our.AFTER_ANY if calm else our.AFTER_PROOF
             old, way = table.levels.get(kind, (-1.0, -1))
             same = tries == way and (level == old or level < 1.0 and abs(level - old) < LEVEL_STEP)
