--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -487,7 +487,8 @@
             if abs(new - old) > max(RESEND_OVER, LEANED_OVER * old) or (old > 0) != (new > 0):
                 changes[node] = new
         hurry = hurry or not table.proxies or not any(node in want for node in table.lines) \
-            or any(0 < new < table.lines.get(node, 0) / 2 for node, new in changes.items())
+            or any(0 < new < table.lines.get(node, 0) / 2 and ramp(self.now - self.nodes[node].eased_at) < 1.0
+                   for node, new in changes.items())  # a fresh node must not keep an old weight
         paced = len(table.waiting) * 2 < len(table.proxies) or self.now - table.changed_at >= ACK_WAIT
         if not changes or not (paced or hurry) \
                 or not self.channel.claim(table.proxies, len(changes), 1.0 if hurry else ORDINARY_PART):
