--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -51,7 +51,7 @@
 PASSES, PROBE_EVERY = 2, 1.0  # probes in a row before a way back; s between them, as only such nodes get any
 # Admission
 CUT_MOST, CUT_EVERY = 0.75, 2.5  # share kept at a cut; s between cuts, until reports show the last one
-SHARE_LEAST = 0.4  # share of the work offered that no cut goes below: late reports must not empty the fleet
+SHARE_LEAST = 0.25  # share of the work offered that no cut goes below: late reports must not empty the fleet
 GIVE_BACK, CALM = 0.04, 0.8  # share given back a second, and the strain below which it is
 FAILING = 0.15  # share of tries errored at the median node that counts as full strain
 LEVEL_LEAST, LEVEL_STEP = 0.05, 0.04  # share of a kind always let in; smallest change worth a line
@@ -202,7 +202,8 @@
         self.proxies: dict[int, Proxy] = {}
         self.tables: dict[tuple, Table] = {}
         self.lean: dict[int, float] = {}  # by zone: the part of its scores that open tables give it
-        self.bound: set[int] = set()  # the zones that some kinds cannot leave
+        self.bound: set[int] = set()  # zones that some kinds cannot leave, and those that others now leave
+        self.left: set[int] = set()
         self.answers = 0.0  # heard since the start, of all nodes
         self.mark, self.marked = 0, False
         self.look_at = self.rescore_at = self.ask_at = self.fetch_at = LONG_AGO
@@ -263,7 +264,7 @@
             node = self.node(place)
             node.zone, node.state, node.nominal = zone, state, nominal if nominal > 0 else 1.0
             if started > node.started:
-                node.started = started
+                node.started, self.look_at, self.rescore_at = started, LONG_AGO, LONG_AGO
                 self.forget(node, started)
 
     def node(self, place: int) -> Node:
@@ -285,7 +286,7 @@
     def take_joined(self, proxy: int, zone: int, usual: float, blank: bool) -> None:
         """Bind it at once to the tables of its zone: one for each set of nodes open to some kinds."""
         self.take_left(proxy)
-        joined = {proxy: Proxy()}
+        joined = {proxy: Proxy(rates=dict.fromkeys(range(len(self.kinds)), usual / max(1, len(self.kinds))))}
         self.proxies |= joined
         groups: dict[tuple, tuple[int, ...]] = {}
         for kind, req in enumerate(self.kinds):
@@ -313,12 +314,12 @@
                 table.waiting.discard(proxy)
 
     def take_came(self, proxy: int, kind: int, count: int, errored: int, over: float) -> None:
-        if proxy in self.proxies and over > 0:
+        if proxy in self.proxies and kind < len(self.kinds) and over > 0:
             rates = self.proxies[proxy].rates
-            rates[kind] = (rates.get(kind, count / over) + count / over) / 2
+            rates[kind] = (rates[kind] + count / over) / 2
 
     def rate(self, proxies: dict[int, Proxy], kind: int) -> float:
-        return sum(proxy.rates.get(kind, 0.0) for proxy in proxies.values())
+        return sum(proxy.rates[kind] for proxy in proxies.values())
 
     def target(self) -> float:
         """The mean response target of what comes, in seconds."""
@@ -434,11 +435,13 @@
         """A zone under more strain than the rest loses its nearness, and free kinds leave it."""
         ready, target = self.pool().values(), self.target()
         self.bound = {zone for table in self.tables.values() for zone in table.zones}
+        self.left = set()
         for zone in sorted((self.bound | {table.near for table in self.tables.values()}) - {-1}):
             here = strain((node for node in ready if node.zone == zone), target)
             rest = strain((node for node in ready if node.zone != zone), target)
             limit = LEAN_FROM if zone in self.bound else NEAR_FROM
             if here > max(limit, rest):
+                self.left.add(zone)
                 self.lean[zone] = max(LEAN_LEAST, self.lean.get(zone, 1.0) * LEAN_FALL)
             elif here < limit:
                 self.lean[zone] = min(1.0, self.lean.get(zone, 1.0) * LEAN_RISE)
@@ -506,13 +509,13 @@
         pool = [node for node in self.pool(table.zones).values() if not node.out]
         strained = strain(pool, self.target())
         work = {k: self.rate(table.proxies, k) * self.kinds[k].response_target for k in table.kinds}
-        others_leave = any(self.lean.get(zone, 1.0) > LEAN_LEAST for zone in table.zones)
+        others_leave = any(zone in self.left and self.lean[zone] > LEAN_LEAST for zone in table.zones)
         if strained > 1.0 and not others_leave and self.now - table.cut_at >= CUT_EVERY:
             table.cut_at = self.now
             table.share = max(SHARE_LEAST, table.share * max(CUT_MOST, 1.0 / strained))
         elif strained < CALM:
             table.share = min(1.0, table.share + GIVE_BACK)
-        share = min(table.share, COLD_LETS * sum(self.warmth(node) for node in pool) / max(1, len(pool)))
+        share = min(table.share, self.stands(table, pool))
         left = share * sum(work.values())
         for kind in sorted(work, key=lambda k: -self.kinds[k].value / self.kinds[k].response_target):
             cut = share < 1.0 and work[kind] and self.admitting != our.NOT_AT_ALL
@@ -526,11 +529,19 @@
                 table.levels[kind] = (level, tries)
                 self.orders.admit(table.place, 1 << kind, self.quota(table, kind, level), tries)
 
+    def stands(self, table: Table, pool: list[Node]) -> float:
+        """The share that a pool stands where all of it is cold; missing nodes count as much as cold ones."""
+        if any(self.warmth(node) >= 1.0 for node in pool):
+            return 1.0
+        size = sum(not table.zones or node.zone in table.zones for node in self.nodes)
+        size = max(size, len(self.nodes) / max(1, len({node.zone for node in self.nodes})))
+        return COLD_LETS * sum(self.warmth(node) for node in pool) / max(1, size)
+
     def quota(self, table: Table, kind: int, level: float) -> float:
         """A level as the proxies take it: a share, or a rate that lets in that share over all proxies."""
         if self.admitting != our.BY_RATE or level >= 1.0:
             return RATE_OPEN if self.admitting == our.BY_RATE else level
-        rates = sorted(proxy.rates.get(kind, 0.0) for proxy in table.proxies.values())
+        rates = sorted(proxy.rates[kind] for proxy in table.proxies.values())
         left = level * sum(rates)
         while rates and rates[0] < left / len(rates):
             left -= rates.pop(0)
