Cuts only while nodes hold much; cold nodes are spared after zones lean

Load gate: took stays long for seconds after the load has gone, so a cut is made only above a median load of 80% and given back below 50%; sharpest cut 0.6 (tried: 0.75 with 80/50, 60/60, 90/70; give-back 0.08). Should hold wherever reports lag; may hurt where the load figure is a bad one.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -36,7 +36,7 @@
 # Ramp
 RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
 COLD_MARGIN = 0.25  # part used of what a cold node stands: half for two draws, half for others' proxies
-COLD_LETS = 2.0  # part let in of what a pool surely does while cold: usual load fills half of a warm one
+COLD_LETS = 1.2  # part let in of what a pool surely does while cold: its usual load, tries again, little more
 # What is heard
 FORGET = 3.0  # s; time constant of durations and errors: about three reports, so one odd one does not decide
 STEP = 0.4  # part of a newly reported figure taken over: two or three reports make one
@@ -50,7 +50,8 @@
 HOLD, HOLD_MOST = 4.0, 30.0  # s; first wait of a withdrawn node, doubled each time within the longest
 PASSES, PROBE_EVERY = 2, 1.0  # probes in a row before a way back; s between them, as only such nodes get any
 # Admission
-CUT_MOST, CUT_EVERY = 0.75, 2.5  # share kept at a cut; s between cuts, until reports show the last one
+CUT_MOST, CUT_EVERY = 0.6, 2.5  # share kept at a cut; s between cuts, until reports show the last one
+FULL, SPARE = 80.0, 50.0  # median load in percent: below the one nothing is cut, below the other it comes back
 SHARE_LEAST = 0.25  # share of the work offered that no cut goes below: late reports must not empty the fleet
 GIVE_BACK, CALM = 0.04, 0.8  # share given back a second, and the strain below which it is
 FAILING = 0.15  # share of tries errored at the median node that counts as full strain
@@ -458,7 +459,6 @@
         pool = self.pool(table.zones)
         want = {place: max(1, round(node.score * ramp(self.now - node.eased_at)))
                 for place, node in pool.items()}
-        self.spare_cold(pool, want)
         for place in want if not table.zones else ():
             node = pool[place]
             lean = self.lean.get(node.zone, 1.0)
@@ -466,6 +466,7 @@
             if node.zone == table.near and self.warmth(node) >= 1.0:
                 part *= 1.0 + (NEAR - 1) * lean
             want[place] = max(1, round(want[place] * part))
+        self.spare_cold(pool, want)
         return want
 
     def spare_cold(self, pool: dict[int, Node], want: dict[int, int]) -> None:
@@ -509,11 +510,12 @@
         pool = [node for node in self.pool(table.zones).values() if not node.out]
         strained = strain(pool, self.target())
         work = {k: self.rate(table.proxies, k) * self.kinds[k].response_target for k in table.kinds}
+        held = median([node.load for node in pool if node.load is not None] or [100.0])
         others_leave = any(zone in self.left and self.lean[zone] > LEAN_LEAST for zone in table.zones)
-        if strained > 1.0 and not others_leave and self.now - table.cut_at >= CUT_EVERY:
+        if strained > 1.0 and held > FULL and not others_leave and self.now - table.cut_at >= CUT_EVERY:
             table.cut_at = self.now
             table.share = max(SHARE_LEAST, table.share * max(CUT_MOST, 1.0 / strained))
-        elif strained < CALM:
+        elif strained < CALM or held < SPARE:
             table.share = min(1.0, table.share + GIVE_BACK)
         share = min(table.share, self.stands(table, pool))
         left = share * sum(work.values())
