--- a/oatcart/interface.py
+++ b/oatcart/interface.py
@@ -5,7 +5,6 @@
 
     ("listed", whole, entries)      the roll; entries: (node, zone, started, state, nominal)
     ("unlisted",)                   a call to the roll failed, or following it broke
-    ("woke",)                       the wait asked for with `wake` is over
     ("probed", node, outcome, took, load)       outcome: ANSWERED, ERRORED, TURNED_AWAY, UNREACHED, SILENT
     ("joined", proxy, zone, usual, blank)       blank: it holds only its standing tables
     ("left", proxy)
@@ -13,6 +12,7 @@
     ("met", node, zone, over, took, errored, tried, load)   what proxies of a zone met at a node
     ("came", proxy, kind, count, errored, over)             what reqs came to a proxy
 
+A round with nothing in it is the end of a wait asked for with `wake`.
 A load is (held, busy, waiting): reqs held, share of the cores in use, reqs waiting; None where not told.
 Nodes, kinds, zones, proxies and tables are small whole numbers; a node keeps its number for good.
 """
--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -18,21 +18,17 @@
 IDLE_LOAD = 10.0  # percent; the paper's example: below it a load scores 100
 QUICK, SLOW_COST = 0.2, 200.0  # s, points a second; the paper's cutoff, and 20 points for each 0.1 s beyond
 ERROR_COST = 1000.0  # points for all failing; the design's 10 points for 1%
-FLAT = 50.0  # points; a flat trend, and bytes that nobody reports
-TREND_OVER = 30  # s; the design's window for the trend, one figure a second
+FLAT, TREND_OVER = 50.0, 30  # points for a flat trend and for bytes nobody reports; s of the trend's window
 # Publishing
-RESCORE_EVERY = 1.0  # s; the design's pace, and about the pace of the reports
-LOOK_EVERY = 0.25  # s; for what cannot wait: a quarter of a rescore, far within any grace seen in a limit
-RESEND_OVER = 5.0  # points; the design's threshold, a move below it is within the noise of the reports
-LEANED_OVER = 0.1  # share of a standing weight; the same threshold for weights far above 100
+RESCORE_EVERY, LOOK_EVERY = 1.0, 0.25  # s; the design's pace; for what cannot wait, far within any grace
+RESEND_OVER, LEANED_OVER = 5.0, 0.1  # points, the design's threshold; share, the same for weights above 100
 ACK_WAIT = 2.0  # s; the design's longest wait for most of a table's proxies
-ORDINARY_PART = 0.5  # share of the queue and message caps for weight changes; the rest is for urgent orders
-LEVELS_PART = 0.75  # the same for levels: weight changes must not hold up a cut while the fleet drowns
+ORDINARY_PART, LEVELS_PART = 0.5, 0.75  # shares of the queue and message caps for weight changes, which must
+# not hold up a cut while the fleet drowns, and for levels; the rest is kept for drains, withdrawals, joiners
 # Zones
 NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing costs 8 points or more
 LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
-LEAN_FALL, LEAN_RISE = 0.7, 1.06  # of a zone's part a second: out in some seconds, back in half a minute
-LEAN_LEAST = 0.05  # smallest lean: a zone still gets enough tries to be known
+LEAN_FALL, LEAN_RISE, LEAN_LEAST = 0.7, 1.06, 0.05  # of a zone's part a second, down fast; enough to be known
 # Ramp
 RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
 COLD_MARGIN = 0.25  # part used of what a cold node stands: half for two draws, half for others' proxies
@@ -48,20 +44,20 @@
 SILENT_PERIODS = 2.5  # report periods; lines of one period may come in two portions
 OUT_MOST = 0.5  # share of a pool that evidence may withdraw; beyond it the fault is likely the observer's
 HOLD, HOLD_MOST = 4.0, 30.0  # s; first wait of a withdrawn node, doubled each time within the longest
-PASSES, PROBE_EVERY = 2, 1.0  # probes in a row before a way back; s between them, as only such nodes get any
+PASSES = 2  # probes in a row, one a second and only for withdrawn nodes, that are answered before a way back
 # Admission
 CUT_MOST, CUT_EVERY = 0.6, 2.5  # share kept at a cut; s between cuts, until reports show the last one
-FULL, SPARE = 80.0, 50.0  # median load in percent: below the one nothing is cut, below the other it comes back
+FULL, SPARE = 80.0, 50.0  # percent, median load: below the one nothing is cut, below the other it comes back
 SHARE_LEAST = 0.25  # share of the work offered that no cut goes below: late reports must not empty the fleet
 GIVE_BACK, CALM = 0.04, 0.8  # share given back a second, and the strain below which it is
 FAILING = 0.15  # share of tries errored at the median node that counts as full strain
 LEVEL_LEAST, LEVEL_STEP = 0.05, 0.04  # share of a kind always let in; smallest change worth a line
 TRIES_UNDER = 0.45  # strain; above it a try cut off to make room for another one is mostly work thrown away
+TRIES_OVER = 0.02  # share errored; below it tries only cost, the more if this conductor dies while they stand
 RATE_OPEN = 1e6  # reqs a second; a rate that holds nothing back
 # The roll
-ASK_AGAIN, ASK_MOST = 0.5, 4.0  # s; first and longest wait after a failed call
-FETCH_EVERY = 20.0  # s; a full list now and then mends what a lost change left wrong
-LONG_AGO = -1e9  # s; before any clock's start
+ASK_AGAIN, ASK_MOST, FETCH_EVERY = 0.5, 4.0, 20.0  # s; waits after a failed call; a full list now and then
+LONG_AGO, CLOCK_STEP = -1e9, 0.001  # s; before any clock's start; the clock may round a wake down
 
 
 @dataclass(slots=True)
@@ -88,8 +84,7 @@
     out: bool = False  # withdrawn on evidence
     out_at: float = LONG_AGO
     hold: float = HOLD
-    passes: int = 0  # probes answered in a row, and when the last one was sent
-    probed_at: float = LONG_AGO
+    passes: int = 0  # probes answered in a row
     shut: bool = False  # the standing order at the proxies
 
 
@@ -170,7 +165,7 @@
         for proxy in proxies.values():
             while proxy.sent and proxy.sent[0] < self.at - self.limits.messages_over:
                 proxy.sent.popleft()
-            if most and not proxy.due and len(proxy.sent) >= most * part:
+            if most and not proxy.due and len(proxy.sent) + 1 >= most * part:  # one kept back, for a join's own
                 return False
         whole = sum(lines if proxy.due else lines + self.limits.head for proxy in proxies.values())
         if self.limits.queue_most and part < 1.0 and self.queued + whole > self.limits.queue_most * part:
@@ -208,7 +203,7 @@
         self.answers = 0.0  # heard since the start, of all nodes
         self.mark, self.marked = 0, False
         self.look_at = self.rescore_at = self.ask_at = self.fetch_at = LONG_AGO
-        self.woken, self.following, self.ask_wait = True, not roll.must_ask, ASK_AGAIN
+        self.following, self.ask_wait = not roll.must_ask, ASK_AGAIN
 
     def round(self, now: float, arrivals: our.Arrivals, orders: our.OrderWriter) -> None:
         """Take in all that came, then decide what is due."""
@@ -218,24 +213,22 @@
             getattr(self, "take_" + name)(*fields)
         self.ask_roll()
         if now >= self.look_at:
-            self.look_at = now + LOOK_EVERY
+            self.look_at = now + LOOK_EVERY - CLOCK_STEP
+            orders.wake(LOOK_EVERY)
             self.look()
         if self.marked:
             orders.ask_ack(self.mark, False)
             self.marked = False
-        if self.woken:
-            self.woken = False
-            orders.wake(LOOK_EVERY)
-
-    def take_woke(self) -> None:
-        self.woken = True
 
     def look(self) -> None:
         """Health at each look; scores and levels once a second; tables as their pace allows."""
         self.judge()
         self.shut_out()
         if self.now >= self.rescore_at:
-            self.rescore_at = self.now + RESCORE_EVERY
+            self.rescore_at = self.now + RESCORE_EVERY - CLOCK_STEP
+            for place, node in self.pool().items():
+                if node.out and self.may_probe:
+                    self.orders.probe(place)
             self.rescore()
             self.lean_zones()
             for table in self.tables.values():
@@ -363,7 +356,7 @@
                 node.share += STEP * (part - node.share)
                 node.answers_then, node.answered_at, node.answered = self.answers, self.now, 0
             if node.out:
-                self.let_back(place, node)
+                self.let_back(node)
             elif self.sick(node, ready.values()) or self.silent(node):
                 self.take_out(place, node)
         for node in self.nodes:
@@ -397,14 +390,11 @@
         node.hold = min(HOLD_MOST, node.hold * 2) if self.now - node.out_at < HOLD_MOST + node.hold else HOLD
         node.out, node.out_at, node.passes = True, self.now, 0
 
-    def let_back(self, place: int, node: Node) -> None:
+    def let_back(self, node: Node) -> None:
         node.eased_at = self.now
         if self.now - node.out_at >= node.hold and (node.passes >= PASSES or not self.may_probe):
             node.out = False
             self.forget(node, self.now)
-        elif self.may_probe and self.now - node.probed_at >= PROBE_EVERY:
-            node.probed_at = self.now
-            self.orders.probe(place)
 
     def shut_out(self) -> None:
         """Keep drained, gone and withdrawn nodes out of all tables that proxies hold, standing ones too."""
@@ -519,12 +509,13 @@
             table.share = min(1.0, table.share + GIVE_BACK)
         share = min(table.share, self.stands(table, pool))
         left = share * sum(work.values())
+        worth_it = share >= 1.0 and strained < TRIES_UNDER and errors(pool) > TRIES_OVER
         for kind in sorted(work, key=lambda k: -self.kinds[k].value / self.kinds[k].response_target):
             cut = share < 1.0 and work[kind] and self.admitting != our.NOT_AT_ALL
             level = max(LEVEL_LEAST, min(1.0, left / work[kind])) if cut else 1.0
             left = max(0.0, left - work[kind] * level)
-            calm = share >= 1.0 and strained < TRIES_UNDER and self.kinds[kind].repeat == our.REPLAYABLE
-            tries = our.AFTER_ANY if calm else our.AFTER_PROOF
+            again = worth_it and self.kinds[kind].repeat == our.REPLAYABLE
+            tries = our.AFTER_ANY if again else our.AFTER_PROOF
             old, way = table.levels.get(kind, (-1.0, -1))
             same = tries == way and (level == old or level < 1.0 and abs(level - old) < LEVEL_STEP)
             if not same and self.channel.claim(table.proxies, 1, LEVELS_PART):
--- a/oatcart/simhost/host.py
+++ b/oatcart/simhost/host.py
@@ -164,8 +164,6 @@
             return (name, proxy, mark, took / 1000)
         if name == "left":
             return (name, *fields)
-        if name == "woke":
-            return (name,)
         return None
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -129,7 +129,7 @@
         nonlocal one, told
         if told is not None:
             one = one or conductor(kinds, cfg)
-            one.round(now, [*told, ("woke",)], orders)
+            one.round(now, told, orders)
             told = None
 
     for words in unrolled(text):
