--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -337,7 +337,7 @@
         if busy is None and held is not None:  # what is held, against what was held while answering on time
             late = node.good and node.took / node.good > ON_TIME * self.target()
             fall = ROOM_FALL * min(0.0, held - node.room)
-            node.room = max(1.0, node.room + fall) if late else max(node.room, held)
+            node.room = max(ROOM / 2, node.room + fall) if late else max(node.room, held)
             busy = held / node.room
         if busy is not None:
             node.load = 100.0 * busy if node.load is None else node.load + STEP * (100.0 * busy - node.load)
