--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -19,33 +19,27 @@
 QUICK, SLOW_COST = 0.2, 200.0  # s, points a second; the paper's cutoff, and 20 points for each 0.1 s beyond
 ERROR_COST = 1000.0  # points for all failing; the design's 10 points for 1%
 FLAT, TREND_OVER = 50.0, 30  # points for a flat trend and for bytes nobody reports; s of the trend's window
-# Publishing
 RESCORE_EVERY, LOOK_EVERY = 1.0, 0.25  # s; the design's pace; for what cannot wait, far within any grace
 RESEND_OVER, LEANED_OVER = 5.0, 0.1  # points, the design's threshold; share, the same for weights above 100
 ACK_WAIT = 2.0  # s; the design's longest wait for most of a table's proxies
 ORDINARY_PART, LEVELS_PART = 0.5, 0.75  # shares of the queue and message caps for weight changes, which must
 # not hold up a cut while the fleet drowns, and for levels; the rest is kept for drains, withdrawals, joiners
-# Zones
 NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing costs 8 points or more
 LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
 LEAN_FALL, LEAN_RISE, LEAN_LEAST = 0.7, 1.06, 0.05  # of a zone's part a second, down fast; enough to be known
-# Ramp
 RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
 COLD_MARGIN = 0.25  # part used of what a cold node stands: half for two draws, half for others' proxies
 COLD_LETS = 1.2  # part let in of what a pool surely does while cold: its usual load, tries again, little more
-# What is heard
 FORGET = 3.0  # s; time constant of durations and errors: about three reports, so one odd one does not decide
 STEP = 0.4  # part of a newly reported figure taken over: two or three reports make one
 ROOM, ROOM_FALL = 8.0, 0.3  # reqs a node is taken to hold on time until it shows it; step down when late
 ON_TIME = 0.5  # share of the response target: a mean duration above it leaves the tail no room
-# Health
 SICK_RATIO, SICK_TRIES = 0.35, 8.0  # share errored beyond the others', and tries: chance won't reach both
 SILENT_ANSWERS = 10.0  # answers a node should have given by its share and did not: e**-10 by chance
 SILENT_PERIODS = 2.5  # report periods; lines of one period may come in two portions
 OUT_MOST = 0.5  # share of a pool that evidence may withdraw; beyond it the fault is likely the observer's
 HOLD, HOLD_MOST = 4.0, 30.0  # s; first wait of a withdrawn node, doubled each time within the longest
 PASSES = 2  # probes in a row, one a second and only for withdrawn nodes, that are answered before a way back
-# Admission
 CUT_MOST, CUT_EVERY = 0.6, 2.5  # share kept at a cut; s between cuts, until reports show the last one
 FULL, SPARE = 80.0, 50.0  # percent, median load: below the one nothing is cut, below the other it comes back
 SHARE_LEAST = 0.25  # share of the work offered that no cut goes below: late reports must not empty the fleet
@@ -55,7 +49,6 @@
 TRIES_UNDER = 0.45  # strain; above it a try cut off to make room for another one is mostly work thrown away
 TRIES_OVER = 0.02  # share errored; below it tries only cost, the more if this conductor dies while they stand
 RATE_OPEN = 1e6  # reqs a second; a rate that holds nothing back
-# The roll
 ASK_AGAIN, ASK_MOST, FETCH_EVERY = 0.5, 4.0, 20.0  # s; waits after a failed call; a full list now and then
 LONG_AGO, CLOCK_STEP = -1e9, 0.001  # s; before any clock's start; the clock may round a wake down
 
@@ -112,6 +105,7 @@
     changed_at: float = LONG_AGO
     share: float = 1.0  # of the work offered that is let in
     cut_at: float = LONG_AGO
+    again: bool = False  # another try after any failure pays
     levels: dict = field(default_factory=dict)  # by kind: share let in, way of trying again
 
 
@@ -165,7 +159,7 @@
         for proxy in proxies.values():
             while proxy.sent and proxy.sent[0] < self.at - self.limits.messages_over:
                 proxy.sent.popleft()
-            if most and not proxy.due and len(proxy.sent) + 1 >= most * part:  # one kept back, for a join's own
+            if most and not proxy.due and len(proxy.sent) + 1 >= most * part:  # one is kept back
                 return False
         whole = sum(lines if proxy.due else lines + self.limits.head for proxy in proxies.values())
         if self.limits.queue_most and part < 1.0 and self.queued + whole > self.limits.queue_most * part:
@@ -232,6 +226,7 @@
             self.rescore()
             self.lean_zones()
             for table in self.tables.values():
+                self.steer(table)
                 self.set_levels(table)
         for table in self.tables.values():
             self.publish(table)
@@ -268,7 +263,7 @@
     def forget(self, node: Node, eased_at: float) -> None:
         """Start afresh after a restart or a way back: old evidence is of another life."""
         node.good = node.took = node.tried = node.errored = 0.0
-        node.load, node.eased_at = None, eased_at
+        node.load, node.eased_at, node.out = None, eased_at, False
         node.loads.clear()
         node.answers_then, node.answered_at, node.answered = self.answers, self.now, 0
 
@@ -295,6 +290,7 @@
             lines = 1 + len(table.lines) + len(table.levels) + sum(node.shut for node in self.nodes)
             self.channel.claim(joined, lines, 1.0)
             table.proxies |= joined
+            self.set_levels(table)
 
     def take_left(self, proxy: int) -> None:
         self.proxies.pop(proxy, None)
@@ -393,7 +389,6 @@
     def let_back(self, node: Node) -> None:
         node.eased_at = self.now
         if self.now - node.out_at >= node.hold and (node.passes >= PASSES or not self.may_probe):
-            node.out = False
             self.forget(node, self.now)
 
     def shut_out(self) -> None:
@@ -495,11 +490,10 @@
                 self.mark, self.marked = (self.mark + 1) % 0x10000, True
             table.mark, table.waiting, table.changed_at = self.mark, set(table.proxies), self.now
 
-    def set_levels(self, table: Table) -> None:
-        """Under strain let in less, least value for its response target first; further tries stop before."""
-        pool = [node for node in self.pool(table.zones).values() if not node.out]
+    def steer(self, table: Table) -> None:
+        """Under strain let in less, once free kinds have left and reports show what the last cut did."""
+        pool = self.in_use(table)
         strained = strain(pool, self.target())
-        work = {k: self.rate(table.proxies, k) * self.kinds[k].response_target for k in table.kinds}
         held = median([node.load for node in pool if node.load is not None] or [100.0])
         others_leave = any(zone in self.left and self.lean[zone] > LEAN_LEAST for zone in table.zones)
         if strained > 1.0 and held > FULL and not others_leave and self.now - table.cut_at >= CUT_EVERY:
@@ -507,14 +501,18 @@
             table.share = max(SHARE_LEAST, table.share * max(CUT_MOST, 1.0 / strained))
         elif strained < CALM or held < SPARE:
             table.share = min(1.0, table.share + GIVE_BACK)
-        share = min(table.share, self.stands(table, pool))
+        table.again = table.share >= 1.0 and strained < TRIES_UNDER and errors(pool) > TRIES_OVER
+
+    def set_levels(self, table: Table) -> None:
+        """The share let in, least value for its response target first; further tries where they pay."""
+        share = min(table.share, self.stands(table)) if self.admitting != our.NOT_AT_ALL else 1.0
+        work = {k: self.rate(table.proxies, k) * self.kinds[k].response_target for k in table.kinds}
         left = share * sum(work.values())
-        worth_it = share >= 1.0 and strained < TRIES_UNDER and errors(pool) > TRIES_OVER
         for kind in sorted(work, key=lambda k: -self.kinds[k].value / self.kinds[k].response_target):
-            cut = share < 1.0 and work[kind] and self.admitting != our.NOT_AT_ALL
-            level = max(LEVEL_LEAST, min(1.0, left / work[kind])) if cut else 1.0
+            part = left / work[kind] if work[kind] and share < 1.0 else share
+            level = max(LEVEL_LEAST, min(1.0, part))
             left = max(0.0, left - work[kind] * level)
-            again = worth_it and self.kinds[kind].repeat == our.REPLAYABLE
+            again = table.again and share >= 1.0 and self.kinds[kind].repeat == our.REPLAYABLE
             tries = our.AFTER_ANY if again else our.AFTER_PROOF
             old, way = table.levels.get(kind, (-1.0, -1))
             same = tries == way and (level == old or level < 1.0 and abs(level - old) < LEVEL_STEP)
@@ -522,8 +520,12 @@
                 table.levels[kind] = (level, tries)
                 self.orders.admit(table.place, 1 << kind, self.quota(table, kind, level), tries)
 
-    def stands(self, table: Table, pool: list[Node]) -> float:
+    def in_use(self, table: Table) -> list[Node]:
+        return [node for node in self.pool(table.zones).values() if not node.out]
+
+    def stands(self, table: Table) -> float:
         """The share that a pool stands where all of it is cold; missing nodes count as much as cold ones."""
+        pool = self.in_use(table)
         if any(self.warmth(node) >= 1.0 for node in pool):
             return 1.0
         size = sum(not table.zones or node.zone in table.zones for node in self.nodes)
