--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -29,6 +29,7 @@
 LEAN_FALL, LEAN_RISE, LEAN_LEAST = 0.7, 1.06, 0.05  # of a zone's part a second, down fast; enough to be known
 RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
 COLD_MARGIN = 0.25  # part used of what a cold node stands: half for two draws, half for others' proxies
+SIZE_FADES = 0.99  # a second; a pool that lost its nodes is still taken for its former size a minute later
 COLD_LETS = 1.2  # part let in of what a pool surely does while cold: its usual load, tries again, little more
 FORGET = 3.0  # s; time constant of durations and errors: about three reports, so one odd one does not decide
 STEP = 0.4  # part of a newly reported figure taken over: two or three reports make one
@@ -103,6 +104,7 @@
     mark: int = 0
     waiting: set = field(default_factory=set)  # proxies that have not acknowledged the mark
     changed_at: float = LONG_AGO
+    size: float = 0.0  # nodes that it lately had in use
     share: float = 1.0  # of the work offered that is let in
     cut_at: float = LONG_AGO
     again: bool = False  # another try after any failure pays
@@ -247,13 +249,14 @@
     def take_listed(self, whole: bool, entries: list[tuple]) -> None:
         if self.ask_at > LONG_AGO:  # an answer, not the list held at the start
             self.following, self.ask_wait, self.ask_at = True, ASK_AGAIN, self.now
+        self.look_at = self.rescore_at = LONG_AGO  # a pool that lost its warm nodes must not wait for the next second
         for node in self.nodes if whole else ():
             node.state = our.GONE
         for place, zone, started, state, nominal in entries:
             node = self.node(place)
             node.zone, node.state, node.nominal = zone, state, nominal if nominal > 0 else 1.0
             if started > node.started:
-                node.started, self.look_at, self.rescore_at = started, LONG_AGO, LONG_AGO
+                node.started = started
                 self.forget(node, started)
 
     def node(self, place: int) -> Node:
@@ -524,13 +527,13 @@
         return [node for node in self.pool(table.zones).values() if not node.out]
 
     def stands(self, table: Table) -> float:
-        """The share that a pool stands where all of it is cold; missing nodes count as much as cold ones."""
+        """The share that a pool stands where all of it is cold; nodes it lately had count as much as cold ones."""
         pool = self.in_use(table)
+        table.size = max(len(pool), table.size * SIZE_FADES)
         if any(self.warmth(node) >= 1.0 for node in pool):
             return 1.0
-        size = sum(not table.zones or node.zone in table.zones for node in self.nodes)
-        size = max(size, len(self.nodes) / max(1, len({node.zone for node in self.nodes})))
-        return COLD_LETS * sum(self.warmth(node) for node in pool) / max(1, size)
+        size = max(table.size, len(self.pool()) / max(1, len({node.zone for node in self.nodes})), 1.0)
+        return COLD_LETS * sum(self.warmth(node) for node in pool) / size
 
     def quota(self, table: Table, kind: int, level: float) -> float:
         """A level as the proxies take it: a share, or a rate that lets in that share over all proxies."""
