--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -249,7 +249,7 @@
     def take_listed(self, whole: bool, entries: list[tuple]) -> None:
         if self.ask_at > LONG_AGO:  # an answer, not the list held at the start
             self.following, self.ask_wait, self.ask_at = True, ASK_AGAIN, self.now
-        self.look_at = self.rescore_at = LONG_AGO  # a pool that lost its warm nodes must not wait for the next second
+        self.look_at = self.rescore_at = LONG_AGO  # a pool that lost its warm nodes must not wait
         for node in self.nodes if whole else ():
             node.state = our.GONE
         for place, zone, started, state, nominal in entries:
@@ -454,20 +454,21 @@
             if node.zone == table.near and self.warmth(node) >= 1.0:
                 part *= 1.0 + (NEAR - 1) * lean
             want[place] = max(1, round(want[place] * part))
-        self.spare_cold(pool, want)
+        self.spare_cold(table, pool, want)
         return want
 
-    def spare_cold(self, pool: dict[int, Node], want: dict[int, int]) -> None:
+    def spare_cold(self, table: Table, pool: dict[int, Node], want: dict[int, int]) -> None:
         """Cold nodes get what they surely stand, or no line where two draws would meet it too often."""
         warm = [want[at] for at, node in pool.items() if not node.out and self.warmth(node) >= 1.0]
         part = self.cold.fall_multiple * COLD_MARGIN * max(0.05, 1.0 - errors(pool.values()))
         most = sum(warm) / len(warm) if warm else 100.0
+        load = max(len(warm), table.size * self.lets_in(table))  # in what one node usually gets
         cold = {place: part * self.warmth(node) for place, node in pool.items() if self.warmth(node) < 1.0}
         for place, stands in cold.items():
             want[place] = max(1, min(want[place], round(stands * most)))
         for place, stands in cold.items() if warm else ():
             others = [want[at] for at, node in pool.items() if at in want and at != place and not node.out]
-            if not pool[place].out and exposure(want[place], others) * len(warm) > 2 * stands + 2 / most:
+            if not pool[place].out and exposure(want[place], others) * load > 2 * stands + 2 / most:
                 del want[place]
 
     def publish(self, table: Table, hurry: bool = False) -> None:
@@ -496,6 +497,7 @@
     def steer(self, table: Table) -> None:
         """Under strain let in less, once free kinds have left and reports show what the last cut did."""
         pool = self.in_use(table)
+        table.size = max(len(pool), table.size * SIZE_FADES)
         strained = strain(pool, self.target())
         held = median([node.load for node in pool if node.load is not None] or [100.0])
         others_leave = any(zone in self.left and self.lean[zone] > LEAN_LEAST for zone in table.zones)
@@ -508,7 +510,7 @@
 
     def set_levels(self, table: Table) -> None:
         """The share let in, least value for its response target first; further tries where they pay."""
-        share = min(table.share, self.stands(table)) if self.admitting != our.NOT_AT_ALL else 1.0
+        share = self.lets_in(table) if self.admitting != our.NOT_AT_ALL else 1.0
         work = {k: self.rate(table.proxies, k) * self.kinds[k].response_target for k in table.kinds}
         left = share * sum(work.values())
         for kind in sorted(work, key=lambda k: -self.kinds[k].value / self.kinds[k].response_target):
@@ -526,14 +528,13 @@
     def in_use(self, table: Table) -> list[Node]:
         return [node for node in self.pool(table.zones).values() if not node.out]
 
-    def stands(self, table: Table) -> float:
-        """The share that a pool stands where all of it is cold; nodes it lately had count as much as cold ones."""
-        pool = self.in_use(table)
-        table.size = max(len(pool), table.size * SIZE_FADES)
-        if any(self.warmth(node) >= 1.0 for node in pool):
-            return 1.0
+    def lets_in(self, table: Table) -> float:
+        """The share let in: what the level says, and what a pool that is mostly cold surely stands."""
+        warmths = [self.warmth(node) for node in self.in_use(table)]
         size = max(table.size, len(self.pool()) / max(1, len({node.zone for node in self.nodes})), 1.0)
-        return COLD_LETS * sum(self.warmth(node) for node in pool) / size
+        if all(warmth >= 1.0 for warmth in warmths) or 2 * sum(warmth >= 1.0 for warmth in warmths) >= size:
+            return table.share
+        return min(table.share, COLD_LETS * sum(warmths) / size)
 
     def quota(self, table: Table, kind: int, level: float) -> float:
         """A level as the proxies take it: a share, or a rate that lets in that share over all proxies."""
