Cold pools and cold lines are measured by the table's part of the work

What a table's work fills, in nodes, now bounds what a cold line may meet and what a cold pool lets in; it follows traffic that falls with the fleet, which the pool's recent size did not.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -15,40 +15,35 @@
 
 # The paper's percentages (AADLB, section 3.3); CPU and RAM as one load, bytes sent and received as one.
 LOAD_PART, TREND_PART, DURATION_PART, BYTES_PART, ERROR_PART = 0.30, 0.20, 0.20, 0.20, 0.10
-IDLE_LOAD = 10.0  # percent; the paper's example: below it a load scores 100
-QUICK, SLOW_COST = 0.2, 200.0  # s, points a second; the paper's cutoff, and 20 points for each 0.1 s beyond
+IDLE_LOAD, QUICK, SLOW_COST = 10.0, 0.2, 200.0  # percent, s, points a second: the paper's cutoffs
 ERROR_COST = 1000.0  # points for all failing; the design's 10 points for 1%
 FLAT, TREND_OVER = 50.0, 30  # points for a flat trend and for bytes nobody reports; s of the trend's window
 RESCORE_EVERY, LOOK_EVERY = 1.0, 0.25  # s; the design's pace; for what cannot wait, far within any grace
 RESEND_OVER, LEANED_OVER = 5.0, 0.1  # points, the design's threshold; share, the same for weights above 100
 ACK_WAIT = 2.0  # s; the design's longest wait for most of a table's proxies
-ORDINARY_PART, LEVELS_PART = 0.5, 0.75  # shares of the queue and message caps for weight changes, which must
-# not hold up a cut while the fleet drowns, and for levels; the rest is kept for drains, withdrawals, joiners
+ORDINARY_PART, LEVELS_PART = 0.5, 0.75  # of the caps, for weights and for levels; the rest for urgent orders
 NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing costs 8 points or more
 LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
 LEAN_FALL, LEAN_RISE, LEAN_LEAST = 0.7, 1.06, 0.05  # of a zone's part a second, down fast; enough to be known
 RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
 COLD_MARGIN = 0.25  # part used of what a cold node stands: half for two draws, half for others' proxies
-SIZE_FADES = 0.99  # a second; a pool that lost its nodes is still taken for its former size a minute later
 COLD_LETS = 1.2  # part let in of what a pool surely does while cold: its usual load, tries again, little more
 FORGET = 3.0  # s; time constant of durations and errors: about three reports, so one odd one does not decide
 STEP = 0.4  # part of a newly reported figure taken over: two or three reports make one
 ROOM, ROOM_FALL = 8.0, 0.3  # reqs a node is taken to hold on time until it shows it; step down when late
 ON_TIME = 0.5  # share of the response target: a mean duration above it leaves the tail no room
 SICK_RATIO, SICK_TRIES = 0.35, 8.0  # share errored beyond the others', and tries: chance won't reach both
-SILENT_ANSWERS = 10.0  # answers a node should have given by its share and did not: e**-10 by chance
-SILENT_PERIODS = 2.5  # report periods; lines of one period may come in two portions
+SILENT_ANSWERS, SILENT_PERIODS = 10.0, 2.5  # answers due by its share and not given; report periods passed
 OUT_MOST = 0.5  # share of a pool that evidence may withdraw; beyond it the fault is likely the observer's
 HOLD, HOLD_MOST = 4.0, 30.0  # s; first wait of a withdrawn node, doubled each time within the longest
 PASSES = 2  # probes in a row, one a second and only for withdrawn nodes, that are answered before a way back
 CUT_MOST, CUT_EVERY = 0.6, 2.5  # share kept at a cut; s between cuts, until reports show the last one
 FULL, SPARE = 80.0, 50.0  # percent, median load: below the one nothing is cut, below the other it comes back
 SHARE_LEAST = 0.25  # share of the work offered that no cut goes below: late reports must not empty the fleet
-GIVE_BACK, CALM = 0.04, 0.8  # share given back a second, and the strain below which it is
+GIVE_BACK, CALM = 0.04, 0.8  # share given back a second, and the strain below which it is; slowly
 FAILING = 0.15  # share of tries errored at the median node that counts as full strain
 LEVEL_LEAST, LEVEL_STEP = 0.05, 0.04  # share of a kind always let in; smallest change worth a line
-TRIES_UNDER = 0.45  # strain; above it a try cut off to make room for another one is mostly work thrown away
-TRIES_OVER = 0.02  # share errored; below it tries only cost, the more if this conductor dies while they stand
+TRIES_UNDER, TRIES_OVER = 0.45, 0.02  # strain, share errored: else a try cut off for another is just waste
 RATE_OPEN = 1e6  # reqs a second; a rate that holds nothing back
 ASK_AGAIN, ASK_MOST, FETCH_EVERY = 0.5, 4.0, 20.0  # s; waits after a failed call; a full list now and then
 LONG_AGO, CLOCK_STEP = -1e9, 0.001  # s; before any clock's start; the clock may round a wake down
@@ -104,7 +99,6 @@
     mark: int = 0
     waiting: set = field(default_factory=set)  # proxies that have not acknowledged the mark
     changed_at: float = LONG_AGO
-    size: float = 0.0  # nodes that it lately had in use
     share: float = 1.0  # of the work offered that is let in
     cut_at: float = LONG_AGO
     again: bool = False  # another try after any failure pays
@@ -311,15 +305,12 @@
             rates = self.proxies[proxy].rates
             rates[kind] = (rates[kind] + count / over) / 2
 
-    def rate(self, proxies: dict[int, Proxy], kind: int) -> float:
-        return sum(proxy.rates[kind] for proxy in proxies.values())
-
     def target(self) -> float:
         """The mean response target of what comes, in seconds."""
-        come = [self.rate(self.proxies, kind) for kind in range(len(self.kinds))]
-        if not sum(come):
+        come = sum(sum(proxy.rates.values()) for proxy in self.proxies.values())
+        if not come:
             return min((req.response_target for req in self.kinds), default=1.0)
-        return sum(rate * req.response_target for rate, req in zip(come, self.kinds)) / sum(come)
+        return sum(sum(self.work(table).values()) for table in self.tables.values()) / come
 
     def take_met(self, place: int, zone: int, over: float, took: float, errored: int, tried: int,
                  load: our.Load) -> None:
@@ -333,7 +324,7 @@
             node.took += good * took
             node.answered += good
         held, busy, _ = load
-        if busy is None and held is not None:  # what is held, against what was held while answering on time
+        if busy is None and held is not None:  # against what was held while answering on time
             late = node.good and node.took / node.good > ON_TIME * self.target()
             fall = ROOM_FALL * min(0.0, held - node.room)
             node.room = max(ROOM / 2, node.room + fall) if late else max(node.room, held)
@@ -462,13 +453,13 @@
         warm = [want[at] for at, node in pool.items() if not node.out and self.warmth(node) >= 1.0]
         part = self.cold.fall_multiple * COLD_MARGIN * max(0.05, 1.0 - errors(pool.values()))
         most = sum(warm) / len(warm) if warm else 100.0
-        load = max(len(warm), table.size * self.lets_in(table))  # in what one node usually gets
+        load = max(len(warm), self.filled(table) * self.lets_in(table))
         cold = {place: part * self.warmth(node) for place, node in pool.items() if self.warmth(node) < 1.0}
         for place, stands in cold.items():
             want[place] = max(1, min(want[place], round(stands * most)))
         for place, stands in cold.items() if warm else ():
             others = [want[at] for at, node in pool.items() if at in want and at != place and not node.out]
-            if not pool[place].out and exposure(want[place], others) * load > 2 * stands + 2 / most:
+            if not pool[place].out and exposure(want[place], others) * load > 2.5 * stands + 2 / most:
                 del want[place]
 
     def publish(self, table: Table, hurry: bool = False) -> None:
@@ -497,7 +488,6 @@
     def steer(self, table: Table) -> None:
         """Under strain let in less, once free kinds have left and reports show what the last cut did."""
         pool = self.in_use(table)
-        table.size = max(len(pool), table.size * SIZE_FADES)
         strained = strain(pool, self.target())
         held = median([node.load for node in pool if node.load is not None] or [100.0])
         others_leave = any(zone in self.left and self.lean[zone] > LEAN_LEAST for zone in table.zones)
@@ -511,7 +501,7 @@
     def set_levels(self, table: Table) -> None:
         """The share let in, least value for its response target first; further tries where they pay."""
         share = self.lets_in(table) if self.admitting != our.NOT_AT_ALL else 1.0
-        work = {k: self.rate(table.proxies, k) * self.kinds[k].response_target for k in table.kinds}
+        work = self.work(table)
         left = share * sum(work.values())
         for kind in sorted(work, key=lambda k: -self.kinds[k].value / self.kinds[k].response_target):
             part = left / work[kind] if work[kind] and share < 1.0 else share
@@ -528,13 +518,22 @@
     def in_use(self, table: Table) -> list[Node]:
         return [node for node in self.pool(table.zones).values() if not node.out]
 
+    def work(self, table: Table) -> dict[int, float]:
+        """What comes to a table by kind, in reqs a second times their response targets."""
+        return {kind: self.kinds[kind].response_target * sum(p.rates[kind] for p in table.proxies.values())
+                for kind in table.kinds}
+
+    def filled(self, table: Table) -> float:
+        """How many nodes a table's part of the work usually fills."""
+        whole = self.target() * sum(sum(proxy.rates.values()) for proxy in self.proxies.values())
+        return len(self.pool()) * (sum(self.work(table).values()) / whole if whole else 1.0)
+
     def lets_in(self, table: Table) -> float:
         """The share let in: what the level says, and what a pool that is mostly cold surely stands."""
         warmths = [self.warmth(node) for node in self.in_use(table)]
-        size = max(table.size, len(self.pool()) / max(1, len({node.zone for node in self.nodes})), 1.0)
-        if all(warmth >= 1.0 for warmth in warmths) or 2 * sum(warmth >= 1.0 for warmth in warmths) >= size:
-            return table.share
-        return min(table.share, COLD_LETS * sum(warmths) / size)
+        warm, filled = sum(warmth >= 1.0 for warmth in warmths), self.filled(table)
+        cold = warm < len(warmths) and 2 * warm < filled
+        return min(table.share, COLD_LETS * sum(warmths) / filled) if cold else table.share
 
     def quota(self, table: Table, kind: int, level: float) -> float:
         """A level as the proxies take it: a share, or a rate that lets in that share over all proxies."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -104,7 +104,7 @@
 
 def unrolled(text):
     """The lines of a scenario, repeated ones written out."""
-    lines = [line.split("#")[0].split() for line in text.splitlines()]
+    lines = [part.split() for line in text.splitlines() for part in line.split("#")[0].split(";")]
     now, out = 0.0, []
     while lines:
         words = lines.pop(0)
