--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -28,20 +28,17 @@
 RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
 COLD_MARGIN = 0.25  # part used of what a cold node stands: half for two draws, half for others' proxies
 COLD_LETS = 1.2  # part let in of what a pool surely does while cold: its usual load, tries again, little more
-FORGET = 3.0  # s; time constant of durations and errors: about three reports, so one odd one does not decide
-STEP = 0.4  # part of a newly reported figure taken over: two or three reports make one
+FORGET, STEP = 3.0, 0.4  # s, time constant of durations and errors; part of a new figure taken over
 ROOM, ROOM_FALL = 8.0, 0.3  # reqs a node is taken to hold on time until it shows it; step down when late
-ON_TIME = 0.5  # share of the response target: a mean duration above it leaves the tail no room
+ON_TIME, FAILING = 0.5, 0.15  # parts of the response target and of tries errored, at the median: full strain
 SICK_RATIO, SICK_TRIES = 0.35, 8.0  # share errored beyond the others', and tries: chance won't reach both
 SILENT_ANSWERS, SILENT_PERIODS = 10.0, 2.5  # answers due by its share and not given; report periods passed
 OUT_MOST = 0.5  # share of a pool that evidence may withdraw; beyond it the fault is likely the observer's
 HOLD, HOLD_MOST = 4.0, 30.0  # s; first wait of a withdrawn node, doubled each time within the longest
 PASSES = 2  # probes in a row, one a second and only for withdrawn nodes, that are answered before a way back
-CUT_MOST, CUT_EVERY = 0.6, 2.5  # share kept at a cut; s between cuts, until reports show the last one
+CUT_MOST, CUT_EVERY, SHARE_LEAST = 0.6, 2.5, 0.25  # share kept at a cut; s until reports show it; the least
 FULL, SPARE = 80.0, 50.0  # percent, median load: below the one nothing is cut, below the other it comes back
-SHARE_LEAST = 0.25  # share of the work offered that no cut goes below: late reports must not empty the fleet
 GIVE_BACK, CALM = 0.04, 0.8  # share given back a second, and the strain below which it is; slowly
-FAILING = 0.15  # share of tries errored at the median node that counts as full strain
 LEVEL_LEAST, LEVEL_STEP = 0.05, 0.04  # share of a kind always let in; smallest change worth a line
 TRIES_UNDER, TRIES_OVER = 0.45, 0.02  # strain, share errored: else a try cut off for another is just waste
 RATE_OPEN = 1e6  # reqs a second; a rate that holds nothing back
@@ -488,6 +485,8 @@
     def steer(self, table: Table) -> None:
         """Under strain let in less, once free kinds have left and reports show what the last cut did."""
         pool = self.in_use(table)
+        if not table.zones:  # a zone kept for kinds bound to it says little of what an open table meets
+            pool = [n for n in pool if n.zone not in self.bound or self.lean.get(n.zone, 1.0) > 0.5] or pool
         strained = strain(pool, self.target())
         held = median([node.load for node in pool if node.load is not None] or [100.0])
         others_leave = any(zone in self.left and self.lean[zone] > LEAN_LEAST for zone in table.zones)
@@ -524,8 +523,9 @@
                 for kind in table.kinds}
 
     def filled(self, table: Table) -> float:
-        """How many nodes a table's part of the work usually fills."""
-        whole = self.target() * sum(sum(proxy.rates.values()) for proxy in self.proxies.values())
+        """How many nodes what comes to a table would fill, by what is let in over all."""
+        whole = sum(work * other.levels.get(kind, (1.0, 0))[0]
+                    for other in self.tables.values() for kind, work in self.work(other).items())
         return len(self.pool()) * (sum(self.work(table).values()) / whole if whole else 1.0)
 
     def lets_in(self, table: Table) -> float:
