--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -76,9 +76,9 @@
 
 @dataclass(slots=True)
 class Proxy:
-    """A joined proxy: when messages went to it, the lines of the one being written, reqs a second by kind."""
+    """A joined proxy: when a message last went to it, the lines of the one being written, reqs a second by kind."""
 
-    sent: deque = field(default_factory=deque)
+    sent: float = LONG_AGO
     due: float = 0.0
     rates: dict = field(default_factory=dict)
 
@@ -148,12 +148,9 @@
 
     def claim(self, proxies: dict[int, Proxy], lines: int, part: float) -> bool:
         """Book so many lines to each of these proxies, if that keeps within this part of the caps."""
-        most = self.limits.messages_most
-        for proxy in proxies.values():
-            while proxy.sent and proxy.sent[0] < self.at - self.limits.messages_over:
-                proxy.sent.popleft()
-            if most and not proxy.due and len(proxy.sent) + 1 >= most * part:  # one is kept back
-                return False
+        gap = self.limits.messages_over / max(1, self.limits.messages_most - 2) if self.limits.messages_most else 0.0
+        if any(not proxy.due and self.at - proxy.sent < gap - CLOCK_STEP for proxy in proxies.values()):
+            return False  # evenly spaced, the cap never holds up a drain for longer than a gap
         whole = sum(lines if proxy.due else lines + self.limits.head for proxy in proxies.values())
         if self.limits.queue_most and part < 1.0 and self.queued + whole > self.limits.queue_most * part:
             return False
@@ -166,7 +163,7 @@
         """A new round: what was due in the last one has left as one message for each proxy."""
         for proxy in proxies.values():
             if proxy.due:
-                proxy.sent.append(self.at)
+                proxy.sent = self.at
                 proxy.due = 0.0
         self.queued = max(0.0, self.queued - (now - self.at) * self.limits.line_rate)
         self.at = now
