--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -21,7 +21,7 @@
 RESCORE_EVERY, LOOK_EVERY = 1.0, 0.25  # s; the design's pace; for what cannot wait, far within any grace
 RESEND_OVER, LEANED_OVER = 5.0, 0.1  # points, the design's threshold; share, the same for weights above 100
 ACK_WAIT = 2.0  # s; the design's longest wait for most of a table's proxies
-ORDINARY_PART, LEVELS_PART = 0.5, 0.75  # of the caps, for weights and for levels; the rest for urgent orders
+ORDINARY_PART, LEVELS_PART = 0.5, 0.75  # of the queue, for weights and for levels; the rest for urgent orders
 NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing costs 8 points or more
 LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
 LEAN_FALL, LEAN_RISE, LEAN_LEAST = 0.7, 1.06, 0.05  # of a zone's part a second, down fast; enough to be known
@@ -76,10 +76,9 @@
 
 @dataclass(slots=True)
 class Proxy:
-    """A joined proxy: when a message last went to it, the lines of the one being written, reqs a second by kind."""
+    """A joined proxy: the lines of the message being written to it, reqs a second by kind."""
 
-    sent: float = LONG_AGO
-    due: float = 0.0
+    due: int = 0
     rates: dict = field(default_factory=dict)
 
 
@@ -140,31 +139,35 @@
 
 @dataclass(slots=True)
 class Channel:
-    """Counts lines and messages on their way, so that queue and message cap are kept."""
+    """Counts lines on their way, and sends in pulses: so a drain never waits for the message cap, only for a pulse."""
 
     limits: our.ChannelLimits
     queued: float = 0.0
     at: float = 0.0
+    pulse: float = LONG_AGO  # the last round in which orders went out
 
     def claim(self, proxies: dict[int, Proxy], lines: int, part: float) -> bool:
-        """Book so many lines to each of these proxies, if that keeps within this part of the caps."""
-        gap = self.limits.messages_over / max(1, self.limits.messages_most - 2) if self.limits.messages_most else 0.0
-        if any(not proxy.due and self.at - proxy.sent < gap - CLOCK_STEP for proxy in proxies.values()):
-            return False  # evenly spaced, the cap never holds up a drain for longer than a gap
-        whole = sum(lines if proxy.due else lines + self.limits.head for proxy in proxies.values())
+        """Book so many lines to each of these proxies, if it is time and they keep within this part of the queue."""
+        most = self.limits.messages_most
+        gap = self.limits.messages_over / max(1, most - 3) if most else 0.0  # one for a join, one kept back
+        if not proxies or self.at != self.pulse and self.at - self.pulse < gap - CLOCK_STEP:
+            return not proxies
+        whole = (lines + self.limits.head) * len(proxies)
         if self.limits.queue_most and part < 1.0 and self.queued + whole > self.limits.queue_most * part:
             return False
-        self.queued += whole
+        self.book(proxies, lines)
+        self.pulse = self.at
+        return True
+
+    def book(self, proxies: dict[int, Proxy], lines: int) -> None:
         for proxy in proxies.values():
+            self.queued += lines if proxy.due else lines + self.limits.head
             proxy.due += lines
-        return True
 
     def turn(self, now: float, proxies: dict[int, Proxy]) -> None:
         """A new round: what was due in the last one has left as one message for each proxy."""
         for proxy in proxies.values():
-            if proxy.due:
-                proxy.sent = self.at
-                proxy.due = 0.0
+            proxy.due = 0
         self.queued = max(0.0, self.queued - (now - self.at) * self.limits.line_rate)
         self.at = now
 
@@ -279,7 +282,7 @@
             self.publish(table)
             self.orders.bind(table.place, proxy, sum(1 << kind for kind in kinds))
             lines = 1 + len(table.lines) + len(table.levels) + sum(node.shut for node in self.nodes)
-            self.channel.claim(joined, lines, 1.0)
+            self.channel.book(joined, lines)
             table.proxies |= joined
             self.set_levels(table)
 
