Cold nodes weigh by the median warm line; where all zones lean none does

Should hold against any avoidance that the proxies do not report; may hurt by warming a node slowly where zones lean.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -26,22 +26,19 @@
 LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
 LEAN_FALL, LEAN_RISE, LEAN_LEAST = 0.7, 1.06, 0.05  # of a zone's part a second, down fast; enough to be known
 RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
-COLD_MARGIN = 0.25  # part used of what a cold node stands: half for two draws, half for others' proxies
-COLD_LETS = 1.2  # part let in of what a pool surely does while cold: its usual load, tries again, little more
+COLD_MARGIN, COLD_LETS = 0.25, 1.2  # parts of what cold nodes stand: for a line, for what a cold pool lets in
 FORGET, STEP = 3.0, 0.4  # s, time constant of durations and errors; part of a new figure taken over
 ROOM, ROOM_FALL = 8.0, 0.3  # reqs a node is taken to hold on time until it shows it; step down when late
 ON_TIME, FAILING = 0.5, 0.15  # parts of the response target and of tries errored, at the median: full strain
 SICK_RATIO, SICK_TRIES = 0.35, 8.0  # share errored beyond the others', and tries: chance won't reach both
 SILENT_ANSWERS, SILENT_PERIODS = 10.0, 2.5  # answers due by its share and not given; report periods passed
 OUT_MOST = 0.5  # share of a pool that evidence may withdraw; beyond it the fault is likely the observer's
-HOLD, HOLD_MOST = 4.0, 30.0  # s; first wait of a withdrawn node, doubled each time within the longest
-PASSES = 2  # probes in a row, one a second and only for withdrawn nodes, that are answered before a way back
+HOLD, HOLD_MOST, PASSES = 4.0, 30.0, 2  # s; wait of a withdrawn node, doubled up to; probes answered in a row
 CUT_MOST, CUT_EVERY, SHARE_LEAST = 0.6, 2.5, 0.25  # share kept at a cut; s until reports show it; the least
 FULL, SPARE = 80.0, 50.0  # percent, median load: below the one nothing is cut, below the other it comes back
 GIVE_BACK, CALM = 0.04, 0.8  # share given back a second, and the strain below which it is; slowly
-LEVEL_LEAST, LEVEL_STEP = 0.05, 0.04  # share of a kind always let in; smallest change worth a line
+LEVEL_LEAST, LEVEL_STEP, RATE_OPEN = 0.05, 0.04, 1e6  # share always let in; change sent; reqs/s, open
 TRIES_UNDER, TRIES_OVER = 0.45, 0.02  # strain, share errored: else a try cut off for another is just waste
-RATE_OPEN = 1e6  # reqs a second; a rate that holds nothing back
 ASK_AGAIN, ASK_MOST, FETCH_EVERY = 0.5, 4.0, 20.0  # s; waits after a failed call; a full list now and then
 LONG_AGO, CLOCK_STEP = -1e9, 0.001  # s; before any clock's start; the clock may round a wake down
 
@@ -422,6 +419,9 @@
                 self.lean[zone] = max(LEAN_LEAST, self.lean.get(zone, 1.0) * LEAN_FALL)
             elif here < limit:
                 self.lean[zone] = min(1.0, self.lean.get(zone, 1.0) * LEAN_RISE)
+        top = max((self.lean.get(node.zone, 1.0) for node in ready if node.zone in self.bound), default=1.0)
+        if all(node.zone in self.bound for node in ready):  # where all zones lean, none does
+            self.lean = {zone: lean / top for zone, lean in self.lean.items()}
 
     def warmth(self, node: Node) -> float:
         """The share of its capacity that a node surely has by now, however slowly it climbs."""
@@ -449,7 +449,7 @@
         """Cold nodes get what they surely stand, or no line where two draws would meet it too often."""
         warm = [want[at] for at, node in pool.items() if not node.out and self.warmth(node) >= 1.0]
         part = self.cold.fall_multiple * COLD_MARGIN * max(0.05, 1.0 - errors(pool.values()))
-        most = sum(warm) / len(warm) if warm else 100.0
+        most = median(warm) if warm else 100.0  # heavy lines may be avoided by proxies
         load = max(len(warm), self.filled(table) * self.lets_in(table))
         cold = {place: part * self.warmth(node) for place, node in pool.items() if self.warmth(node) < 1.0}
         for place, stands in cold.items():
