Scores rise by at most a third a second

Should hold against any node that flaps; may hurt by using a node that is really free some seconds late.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -25,7 +25,7 @@
 NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing costs 8 points or more
 LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
 LEAN_FALL, LEAN_RISE, LEAN_LEAST = 0.7, 1.06, 0.05  # of a zone's part a second, down fast; enough to be known
-RAMP_FROM, RAMP_OVER = 0.25, 10.0  # share and s; the design's quarter weight and climb
+RAMP_FROM, RAMP_OVER, RISE_MOST = 0.25, 10.0, 1.35  # share, s: the design's; a score's rise a second
 COLD_MARGIN, COLD_LETS = 0.25, 1.2  # parts of what cold nodes stand: for a line, for what a cold pool lets in
 FORGET, STEP = 3.0, 0.4  # s, time constant of durations and errors; part of a new figure taken over
 ROOM, ROOM_FALL = 8.0, 0.3  # reqs a node is taken to hold on time until it shows it; step down when late
@@ -222,9 +222,7 @@
 
     def ask_roll(self) -> None:
         """Follow the roll, asking again with growing waits; now and then fetch it whole."""
-        if not self.roll.must_ask or self.now < self.ask_at:
-            return
-        if not self.following or self.now >= self.fetch_at:
+        if self.roll.must_ask and self.now >= self.ask_at and (not self.following or self.now >= self.fetch_at):
             self.ask_at, self.fetch_at = self.now + ASK_MOST, self.now + FETCH_EVERY
             self.orders.fetch_roll() if self.following else self.orders.follow(True)
 
@@ -403,7 +401,7 @@
         nominal = sum(node.nominal for node in ready) / max(1, len(ready))
         for node in ready:
             ratio = node.nominal / nominal if self.roll.nominal_told else 1.0
-            node.score = sums.get(id(node), average) * ratio
+            node.score = min(sums.get(id(node), average) * ratio, node.score * RISE_MOST + 1.0)
 
     def lean_zones(self) -> None:
         """A zone under more strain than the rest loses its nearness, and free kinds leave it."""
