--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -34,7 +34,7 @@
 SILENT_ANSWERS, SILENT_PERIODS = 10.0, 2.5  # answers due by its share and not given; report periods passed
 OUT_MOST = 0.5  # share of a pool that evidence may withdraw; beyond it the fault is likely the observer's
 HOLD, HOLD_MOST, PASSES = 4.0, 30.0, 2  # s; wait of a withdrawn node, doubled up to; probes answered in a row
-CUT_MOST, CUT_EVERY, SHARE_LEAST = 0.6, 2.5, 0.25  # share kept at a cut; s until reports show it; the least
+CUT_MOST, CUT_EVERY, SHARE_LEAST = 0.6, 2.5, 0.25  # share kept at a cut; report periods until it shows; the least
 FULL, SPARE = 80.0, 50.0  # percent, median load: below the one nothing is cut, below the other it comes back
 GIVE_BACK, CALM = 0.04, 0.8  # share given back a second, and the strain below which it is; slowly
 LEVEL_LEAST, LEVEL_STEP, RATE_OPEN = 0.05, 0.04, 1e6  # share always let in; change sent; reqs/s, open
@@ -488,7 +488,7 @@
         strained = strain(pool, self.target())
         held = median([node.load for node in pool if node.load is not None] or [100.0])
         others_leave = any(zone in self.left and self.lean[zone] > LEAN_LEAST for zone in table.zones)
-        if strained > 1.0 and held > FULL and not others_leave and self.now - table.cut_at >= CUT_EVERY:
+        if strained > 1.0 and held > FULL and not others_leave and self.now - table.cut_at >= CUT_EVERY * self.period:
             table.cut_at = self.now
             table.share = max(SHARE_LEAST, table.share * max(CUT_MOST, 1.0 / strained))
         elif strained < CALM or held < SPARE:
