--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -13,7 +13,7 @@
 
 from oatcart import interface as our
 
-# The paper's percentages (AADLB, section 3.3); CPU and RAM as one load, bytes sent and received as one.
+# The paper's percentages (AADLB, 3.3); CPU and RAM as one load, bytes sent and received as one
 LOAD_PART, TREND_PART, DURATION_PART, BYTES_PART, ERROR_PART = 0.30, 0.20, 0.20, 0.20, 0.10
 IDLE_LOAD, QUICK, SLOW_COST = 10.0, 0.2, 200.0  # percent, s, points a second: the paper's cutoffs
 ERROR_COST = 1000.0  # points for all failing; the design's 10 points for 1%
@@ -34,7 +34,7 @@
 SILENT_ANSWERS, SILENT_PERIODS = 10.0, 2.5  # answers due by its share and not given; report periods passed
 OUT_MOST = 0.5  # share of a pool that evidence may withdraw; beyond it the fault is likely the observer's
 HOLD, HOLD_MOST, PASSES = 4.0, 30.0, 2  # s; wait of a withdrawn node, doubled up to; probes answered in a row
-CUT_MOST, CUT_EVERY, SHARE_LEAST = 0.6, 2.5, 0.25  # share kept at a cut; report periods until it shows; the least
+CUT_MOST, CUT_EVERY, SHARE_LEAST = 0.6, 2.5, 0.25  # share kept; report periods until it shows; least
 FULL, SPARE = 80.0, 50.0  # percent, median load: below the one nothing is cut, below the other it comes back
 GIVE_BACK, CALM = 0.04, 0.8  # share given back a second, and the strain below which it is; slowly
 LEVEL_LEAST, LEVEL_STEP, RATE_OPEN = 0.05, 0.04, 1e6  # share always let in; change sent; reqs/s, open
@@ -160,7 +160,6 @@
         return True
 
     def turn(self, now: float, proxies: dict[int, Proxy]) -> None:
-        """What was due in the last round has left as one message for each proxy."""
         for proxy in proxies.values():
             if proxy.due:
                 proxy.sent.append(self.at)
@@ -222,7 +221,8 @@
 
     def ask_roll(self) -> None:
         """Follow the roll, asking again with growing waits; now and then fetch it whole."""
-        if self.roll.must_ask and self.now >= self.ask_at and (not self.following or self.now >= self.fetch_at):
+        due = self.roll.must_ask and (not self.following or self.now >= self.fetch_at)
+        if due and self.now >= self.ask_at:
             self.ask_at, self.fetch_at = self.now + ASK_MOST, self.now + FETCH_EVERY
             self.orders.fetch_roll() if self.following else self.orders.follow(True)
 
@@ -249,7 +249,7 @@
         return self.nodes[place]
 
     def forget(self, node: Node, eased_at: float) -> None:
-        """Start afresh after a restart or a way back: old evidence is of another life."""
+        """Old evidence is of another life."""
         node.good = node.took = node.tried = node.errored = 0.0
         node.load, node.eased_at, node.out = None, eased_at, False
         node.loads.clear()
@@ -271,8 +271,7 @@
             open_to = ((zone,), -1) if req.home_zone else (req.zones, near)
             groups[open_to] = (*groups.get(open_to, ()), kind)
         for (zones, near), kinds in groups.items():
-            fresh = Table(len(self.tables), kinds, zones, near)
-            table = self.tables.setdefault((kinds, zones, near), fresh)
+            table = self.tables.setdefault((kinds, zones, near), Table(len(self.tables), kinds, zones, near))
             self.publish(table)
             self.orders.bind(table.place, proxy, sum(1 << kind for kind in kinds))
             lines = 1 + len(table.lines) + len(table.levels) + sum(node.shut for node in self.nodes)
@@ -446,7 +445,9 @@
     def spare_cold(self, table: Table, pool: dict[int, Node], want: dict[int, int]) -> None:
         """Cold nodes get what they surely stand, or no line where two draws would meet it too often."""
         warm = [want[at] for at, node in pool.items() if not node.out and self.warmth(node) >= 1.0]
-        part = self.cold.fall_multiple * COLD_MARGIN * max(0.05, 1.0 - errors(pool.values()))
+        heard = any(node.tried >= 1 for node in pool.values())  # one that starts over knows no errors yet
+        good = max(0.05, 1.0 - errors(pool.values())) if heard else 0.05
+        part = self.cold.fall_multiple * COLD_MARGIN * good
         most = median(warm) if warm else 100.0  # heavy lines may be avoided by proxies
         load = max(len(warm), self.filled(table) * self.lets_in(table))
         cold = {place: part * self.warmth(node) for place, node in pool.items() if self.warmth(node) < 1.0}
@@ -488,7 +489,8 @@
         strained = strain(pool, self.target())
         held = median([node.load for node in pool if node.load is not None] or [100.0])
         others_leave = any(zone in self.left and self.lean[zone] > LEAN_LEAST for zone in table.zones)
-        if strained > 1.0 and held > FULL and not others_leave and self.now - table.cut_at >= CUT_EVERY * self.period:
+        shown = self.now - table.cut_at >= CUT_EVERY * self.period
+        if strained > 1.0 and held > FULL and shown and not others_leave:
             table.cut_at = self.now
             table.share = max(SHARE_LEAST, table.share * max(CUT_MOST, 1.0 / strained))
         elif strained < CALM or held < SPARE:
