--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -45,8 +45,6 @@
 
 @dataclass(slots=True)
 class Node:
-    """All that is known of one node."""
-
     zone: int = 0
     state: int = our.GONE
     started: float = 0.0  # 0: long ago
@@ -121,6 +119,11 @@
     return sum(errored for errored, _ in pairs) / max(1.0, sum(tried for _, tried in pairs))
 
 
+def success(nodes: list[Node]) -> float:
+    """The share answered; where nothing is heard, as after starting over, next to none is assumed."""
+    return max(0.05, 1.0 - errors(nodes)) if any(node.tried >= 1 for node in nodes) else 0.05
+
+
 def exposure(weight: float, others: list[float]) -> float:
     """How often a line is one of two drawn by weight: nearly always where one other line is heavy."""
     whole = weight + sum(others)
@@ -445,9 +448,7 @@
     def spare_cold(self, table: Table, pool: dict[int, Node], want: dict[int, int]) -> None:
         """Cold nodes get what they surely stand, or no line where two draws would meet it too often."""
         warm = [want[at] for at, node in pool.items() if not node.out and self.warmth(node) >= 1.0]
-        heard = any(node.tried >= 1 for node in pool.values())  # one that starts over knows no errors yet
-        good = max(0.05, 1.0 - errors(pool.values())) if heard else 0.05
-        part = self.cold.fall_multiple * COLD_MARGIN * good
+        part = self.cold.fall_multiple * COLD_MARGIN * success(list(pool.values()))
         most = median(warm) if warm else 100.0  # heavy lines may be avoided by proxies
         load = max(len(warm), self.filled(table) * self.lets_in(table))
         cold = {place: part * self.warmth(node) for place, node in pool.items() if self.warmth(node) < 1.0}
@@ -518,7 +519,6 @@
         return [node for node in self.pool(table.zones).values() if not node.out]
 
     def work(self, table: Table) -> dict[int, float]:
-        """What comes to a table by kind, in reqs a second times their response targets."""
         return {kind: self.kinds[kind].response_target * sum(p.rates[kind] for p in table.proxies.values())
                 for kind in table.kinds}
 
@@ -530,10 +530,11 @@
 
     def lets_in(self, table: Table) -> float:
         """The share let in: what the level says, and what a pool that is mostly cold surely stands."""
-        warmths = [self.warmth(node) for node in self.in_use(table)]
+        pool = self.in_use(table)
+        warmths = [self.warmth(node) for node in pool]
         warm, filled = sum(warmth >= 1.0 for warmth in warmths), self.filled(table)
         cold = warm < len(warmths) and 2 * warm < filled
-        return min(table.share, COLD_LETS * sum(warmths) / filled) if cold else table.share
+        return min(table.share, COLD_LETS * sum(warmths) * success(pool) / filled) if cold else table.share
 
     def quota(self, table: Table, kind: int, level: float) -> float:
         """A level as the proxies take it: a share, or a rate that lets in that share over all proxies."""
