--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -24,9 +24,10 @@
 ORDINARY_PART, LEVELS_PART, URGENT_PART = 0.5, 0.6, 0.7  # of the caps; the last part is for drains alone
 NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing costs 8 points or more
 LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
-LEAN_FALL, LEAN_RISE, LEAN_LEAST = 0.7, 1.06, 0.05  # of a zone's part a second, down fast; enough to be known
+LEAN_FALL, LEAN_RISE, LEAN_LEFT, LEAN_LEAST = 0.7, 1.06, 0.5, 0.05  # a second; a zone left; one still known
 RAMP_FROM, RAMP_OVER, RISE_MOST = 0.25, 5.0, 1.35  # share; s, half the page's, open there; a score's rise
-COLD_MARGIN, COLD_LETS = 0.25, 1.2  # parts of what cold nodes stand: for a line, for what a cold pool lets in
+COLD_MARGIN, COLD_MEETS, COLD_LETS, UNHEARD = 0.25, 2.5, 1.2, 0.05  # parts of what cold nodes stand: by
+# weight (half for two draws, half for others' proxies), as drawn, for a cold pool; where nothing is heard
 FORGET, STEP = 3.0, 0.4  # s, time constant of durations and errors; part of a new figure taken over
 ROOM, ROOM_FALL = 8.0, 0.3  # reqs a node is taken to hold on time until it shows it; step down when late
 ON_TIME, FAILING = 0.5, 0.15  # parts of the response target and of tries errored, at the median: full strain
@@ -44,7 +45,7 @@
 
 
 @dataclass(slots=True)
-class Node:
+class Node:  # all that is known of it
     zone: int = 0
     state: int = our.GONE
     started: float = 0.0  # 0: long ago
@@ -71,7 +72,7 @@
 
 @dataclass(slots=True)
 class Proxy:
-    """A joined proxy: when messages went to it, the lines of the one being written, reqs a second by kind."""
+    """A joined proxy: when messages went to it, lines of the one being written, reqs a second by kind."""
 
     sent: deque = field(default_factory=deque)
     due: float = 0.0
@@ -79,9 +80,7 @@
 
 
 @dataclass(slots=True)
-class Table:
-    """A table shared by proxies, as it was last ordered."""
-
+class Table:  # shared by proxies, as it was last ordered
     place: int
     kinds: tuple[int, ...]
     zones: tuple[int, ...]  # empty: nodes of all zones
@@ -121,7 +120,7 @@
 
 def success(nodes: list[Node]) -> float:
     """The share answered; where nothing is heard, as after starting over, next to none is assumed."""
-    return max(0.05, 1.0 - errors(nodes)) if any(node.tried >= 1 for node in nodes) else 0.05
+    return max(UNHEARD, 1.0 - errors(nodes)) if any(node.tried >= 1 for node in nodes) else UNHEARD
 
 
 def exposure(weight: float, others: list[float]) -> float:
@@ -407,9 +406,8 @@
 
     def lean_zones(self) -> None:
         """A zone under more strain than the rest loses its nearness, and free kinds leave it."""
-        ready, target = self.pool().values(), self.target()
+        ready, target, self.left = self.pool().values(), self.target(), set()
         self.bound = {zone for table in self.tables.values() for zone in table.zones}
-        self.left = set()
         for zone in sorted((self.bound | {table.near for table in self.tables.values()}) - {-1}):
             here = strain((node for node in ready if node.zone == zone), target)
             rest = strain((node for node in ready if node.zone != zone), target)
@@ -419,8 +417,8 @@
                 self.lean[zone] = max(LEAN_LEAST, self.lean.get(zone, 1.0) * LEAN_FALL)
             elif here < limit:
                 self.lean[zone] = min(1.0, self.lean.get(zone, 1.0) * LEAN_RISE)
-        top = max((self.lean.get(node.zone, 1.0) for node in ready if node.zone in self.bound), default=1.0)
-        if all(node.zone in self.bound for node in ready):  # where all zones lean, none does
+        if ready and all(node.zone in self.bound for node in ready):  # where all zones lean, none does
+            top = max(self.lean.get(node.zone, 1.0) for node in ready)
             self.lean = {zone: lean / top for zone, lean in self.lean.items()}
 
     def warmth(self, node: Node) -> float:
@@ -456,7 +454,7 @@
             want[place] = max(1, min(want[place], round(stands * most)))
         for place, stands in cold.items() if warm else ():
             others = [want[at] for at, node in pool.items() if at in want and at != place and not node.out]
-            if not pool[place].out and exposure(want[place], others) * load > 2.5 * stands + 2 / most:
+            if not pool[place].out and exposure(want[place], others) * load > COLD_MEETS * stands + 2 / most:
                 del want[place]
 
     def publish(self, table: Table, hurry: bool = False) -> None:
@@ -486,7 +484,8 @@
         """Under strain let in less, once free kinds have left and reports show what the last cut did."""
         pool = self.in_use(table)
         if not table.zones:  # a zone kept for kinds bound to it says little of what an open table meets
-            pool = [n for n in pool if n.zone not in self.bound or self.lean.get(n.zone, 1.0) > 0.5] or pool
+            left = {zone for zone in self.bound if self.lean.get(zone, 1.0) <= LEAN_LEFT}
+            pool = [node for node in pool if node.zone not in left] or pool
         strained = strain(pool, self.target())
         held = median([node.load for node in pool if node.load is not None] or [100.0])
         others_leave = any(zone in self.left and self.lean[zone] > LEAN_LEAST for zone in table.zones)
