--- a/oatcart/interface.py
+++ b/oatcart/interface.py
@@ -35,17 +35,15 @@
 
     value: float = 1.0
     response_target: float = 1.0
-    client_timeout: float = 1.0
     repeat: int = NON_REPLAYABLE
     home_zone: bool = False
     zones: tuple[int, ...] = ()
 
 
 class RollManners(NamedTuple):
-    """How the list of nodes is had; seconds."""
+    """How the list of nodes is had, and whether it tells weights."""
 
     must_ask: bool = False
-    ask_within: float = 0.0
     nominal_told: bool = False
 
 
@@ -60,12 +58,11 @@
 
 
 class ColdLimits(NamedTuple):
-    """How a node that has just started may be loaded; seconds and shares."""
+    """How a node that has just started may be loaded; seconds, shares, a multiple."""
 
     warm_after: float = 0.0
     share_at_start: float = 1.0
     fall_multiple: float = 1.0
-    fall_after: float = 1.0
 
 
 class OrderWriter(Protocol):
--- a/oatcart/simhost/host.py
+++ b/oatcart/simhost/host.py
@@ -35,7 +35,6 @@
     return our.ReqKind(
         value=grade.get("worth", 1.0),
         response_target=seconds(grade, "aim", 1.0),
-        client_timeout=seconds(grade, "deadline", 1.0),
         repeat=_REPEATS.get(grade.get("idempotency"), our.NON_REPLAYABLE),
         home_zone=home,
         zones=tuple(zones.index(z) if isinstance(z, str) else int(z) for z in names if z in zones or
@@ -54,7 +53,6 @@
                for place, grade in enumerate(grades)],
         roll=our.RollManners(
             must_ask=params.get("membershipMode") == "subscribe",
-            ask_within=seconds(rules, "askWithin"),
             nominal_told=params.get("weights", "off") != "off"),
         channel=_given(
             our.ChannelLimits, line_rate=plane.get("pushRate"), head=plane.get("envelope"),
@@ -62,7 +60,7 @@
             messages_over=seconds(plane, "updateWindow", 10.0)),
         cold=_given(
             our.ColdLimits, warm_after=seconds(rules, "cold"), share_at_start=rules.get("coldShare"),
-            fall_multiple=rules.get("tipMultiple"), fall_after=seconds(rules, "fall")),
+            fall_multiple=rules.get("tipMultiple")),
         report_period=seconds(plane, "period", 1.0),
         admitting=_ADMITS.get(plane.get("admit"), our.NOT_AT_ALL),
         crossing_price=(params.get("penalties") or {}).get("crossZone", 0.0),
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -11,7 +11,7 @@
 SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
 REPEATS = {"replayable": our.REPLAYABLE, "uniqued": our.UNIQUED, "non-replayable": our.NON_REPLAYABLE}
 PLAIN = {"must_ask": 0, "line_rate": 1000, "head": 4, "queue_most": 2000, "messages_most": 0, "messages_over": 10,
-         "warm_after": 16, "share_at_start": 0.2, "fall_multiple": 4, "fall_after": 3, "crossing_price": 0,
+         "warm_after": 16, "share_at_start": 0.2, "fall_multiple": 4, "crossing_price": 0,
          "may_probe": 1, "nominal_told": 0, "rate": 0}
 COMPARE = {"=": operator.eq, "<": operator.lt, ">": operator.gt}
 
@@ -60,7 +60,7 @@
 def conductor(kinds, cfg):
     """A conductor with the plain settings and what a scenario sets."""
     pick = lambda record: record(**{name: cfg[name] for name in record._fields if name in cfg})
-    return Conductor(seed=1, kinds=kinds or [our.ReqKind(1, 1, 2, our.REPLAYABLE)], roll=pick(our.RollManners),
+    return Conductor(seed=1, kinds=kinds or [our.ReqKind(1, 1, our.REPLAYABLE)], roll=pick(our.RollManners),
                      channel=pick(our.ChannelLimits), cold=pick(our.ColdLimits), report_period=1.0,
                      admitting=our.BY_RATE if cfg["rate"] else our.BY_SHARE,
                      crossing_price=cfg["crossing_price"], may_probe=bool(cfg["may_probe"]))
@@ -138,8 +138,7 @@
                 cfg[name] = float(value)
             case ["kind", value, target, repeat, *rest]:
                 zones = tuple(map(int, rest[1].split(","))) if rest[:1] == ["zones"] else ()
-                kinds.append(our.ReqKind(float(value), float(target), 2 * float(target), REPEATS[repeat],
-                                         rest == ["home"], zones))
+                kinds.append(our.ReqKind(float(value), float(target), REPEATS[repeat], rest == ["home"], zones))
             case ["at", time]:
                 run()
                 now, told = float(time), []
