--- /dev/null
+++ b/oatcart/handover.py
@@ -0,0 +1,57 @@
+"""The start records of a conductor, read from the settings object that both hosts are handed."""
+
+from oatcart import interface as our
+
+_REPEATS = {"idempotent": our.REPLAYABLE, "deduplicated": our.UNIQUED}
+_ADMITS = {"fraction": our.BY_SHARE, "per_second": our.BY_RATE}
+
+
+def seconds(table: dict, key: str, default: float = 0.0) -> float:
+    """A time of the settings in seconds.
+
+    >>> seconds({"aim": 250.0}, "aim"), seconds({}, "aim", 2.0)
+    (0.25, 2.0)
+    """
+    value = table.get(key)
+    return default if value is None else value / 1000
+
+
+def _given(record: type, **values):
+    """A record with the values that are there; the others keep its defaults."""
+    return record(**{key: value for key, value in values.items() if value is not None})
+
+
+def _req_kind(grade: dict, home: bool, zones: list[str]) -> our.ReqKind:
+    names = grade.get("onlyZones") or []
+    return our.ReqKind(
+        value=grade.get("worth", 1.0),
+        response_target=seconds(grade, "aim", 1.0),
+        repeat=_REPEATS.get(grade.get("idempotency"), our.NON_REPLAYABLE),
+        home_zone=home,
+        zones=tuple(zones.index(z) if isinstance(z, str) else int(z) for z in names if z in zones or
+                    not isinstance(z, str)),
+    )
+
+
+def start_records(settings: dict) -> dict:
+    """What a conductor is started with beside its seed, each part in a record of its own."""
+    plane, rules = settings.get("specifics") or {}, settings.get("rules") or {}
+    home = plane.get("zoneBound") or []
+    return dict(
+        kinds=[_req_kind(grade, place < len(home) and home[place], settings.get("zones") or [])
+               for place, grade in enumerate(settings.get("grades") or [])],
+        roll=our.RollManners(
+            must_ask=settings.get("membershipMode") == "subscribe",
+            nominal_told=settings.get("weights", "off") != "off"),
+        channel=_given(
+            our.ChannelLimits, line_rate=plane.get("pushRate"), head=plane.get("envelope"),
+            queue_most=plane.get("queueCap"), messages_most=plane.get("messagesMost"),
+            messages_over=seconds(plane, "updateWindow", 10.0)),
+        cold=_given(
+            our.ColdLimits, warm_after=seconds(rules, "cold"), share_at_start=rules.get("coldShare"),
+            fall_multiple=rules.get("tipMultiple")),
+        report_period=seconds(plane, "period", 1.0),
+        admitting=_ADMITS.get(plane.get("admit"), our.NOT_AT_ALL),
+        crossing_price=(settings.get("penalties") or {}).get("crossZone", 0.0),
+        may_probe=bool((settings.get("policyLimits") or {}).get("probes")),
+    )
--- a/oatcart/interface.py
+++ b/oatcart/interface.py
@@ -17,7 +17,7 @@
 Nodes, kinds, zones, proxies and tables are small whole numbers; a node keeps its number for good.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
 GONE, READY, DRAINING = 0, 1, 2  # states of a listed node
@@ -86,11 +86,9 @@
 
     def fetch_roll(self) -> None: ...
 
-    def tell(self, peer: int, body: bytes) -> None: ...
-
     def wake(self, after: float) -> None: ...
 
     def note(self, text: str) -> None: ...
 
 
-Arrivals = Sequence[tuple]
+Arrivals = Iterable[tuple]  # read once, in order
--- /dev/null
+++ b/oatcart/net/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter that joins the decision module to real sockets."""
--- /dev/null
+++ b/oatcart/net/codec.py
@@ -0,0 +1,176 @@
+"""The protocol's messages and our arrivals and parts. The wire's names stand here and nowhere else."""
+
+import math
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+import orjson
+
+from oatcart import interface as our
+from oatcart.net.ending import Ended, Ending
+from oatcart.net.stream import Address
+from oatcart.tables import Part
+
+_STATES = {"SERVING": our.READY, "DRAINING": our.DRAINING, "DELETED": our.GONE}
+_LOADS = ("inflight", "util", "queue")  # in the order of our.Load
+PING, PONG, COLLECTOR = "ping", b'{"msg":"pong"}\n', "collector"
+ROLL_PATH, HEALTH_PATH, LOAD_PATH = "/v1/servers", "/healthz", "/load"
+
+
+def watch_path(revision: int, wait: float) -> str:
+    """
+    >>> watch_path(41, 2.5)
+    '/v1/servers?since=41&timeout_ms=2500'
+    """
+    return f"{ROLL_PATH}?since={revision}&timeout_ms={wait * 1000:.0f}"
+
+
+def address(host_port: str) -> Address:
+    """
+    >>> address("127.0.0.1:5000")
+    ('127.0.0.1', 5000)
+    """
+    host, _, port = host_port.rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"{host_port!r} is not host:port")
+    return host, int(port)
+
+
+def parsed(message: memoryview) -> dict:
+    """A message as it stands; whoever sends what cannot be read loses the connection."""
+    try:
+        table = orjson.loads(message)
+    except orjson.JSONDecodeError as error:
+        raise Ended(Ending.UNREADABLE, str(error)) from None
+    if not isinstance(table, dict):
+        raise Ended(Ending.UNREADABLE, "not an object")
+    return table
+
+
+class Roll(NamedTuple):
+    revision: int
+    whole: bool
+    entries: list[tuple]  # as interface.py has them
+    addresses: list[tuple[int, Address]]
+
+
+class Codec:
+    """Names on one side, small whole numbers on the other; nodes are numbered as they are met."""
+
+    def __init__(self, kinds: Sequence[str], zones: Sequence[str], proxies: int) -> None:
+        self.kinds = {name: place for place, name in enumerate(kinds)}
+        self.kind_names = list(kinds)
+        self.zones = {name: place for place, name in enumerate(zones)}
+        self.proxies = proxies
+        self.places: dict[str, int] = {}
+        self.nodes: list[str] = []
+
+    def place(self, node: str) -> int:
+        if node not in self.places:
+            self.places[str(node)] = len(self.nodes)
+            self.nodes.append(str(node))
+        return self.places[node]
+
+    def arrival(self, message: dict) -> tuple | None:
+        """A message as the module is told of it; None for kinds that it has no use for."""
+        read = _READERS.get(message.get("msg"))
+        try:
+            return read and read(self, message)
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
+            raise Ended(Ending.UNREADABLE, f"{message.get('msg')}: {error!r}") from None
+
+    def _joined(self, table: dict) -> tuple:
+        return ("joined", self._proxy(table), self._zone(table["az"]), _amount(table.get("share", 0.0)),
+                bool(table.get("standing")))
+
+    def _applied(self, table: dict) -> tuple:
+        return ("applied", self._proxy(table), _count(table["version"]),
+                _amount(table.get("lag_ms", 0.0)) / 1000)
+
+    def _met(self, table: dict) -> tuple:
+        tried = _count(table["n"])
+        return ("met", self.place(table["host"]), self._zone(table["az"]), _amount(table["window"]) / 1000,
+                _amount(table.get("avg") or 0.0) / 1000, min(tried, _count(table.get("bad", 0))), tried,
+                load(table.get("report")))
+
+    def _came(self, table: dict) -> tuple:
+        return ("came", self._proxy(table), self.kinds[table["kind"]], _count(table["n"]),
+                _count(table.get("bad", 0)), _amount(table["window"]) / 1000)
+
+    def _proxy(self, table: dict) -> int:
+        proxy = _count(table["sidecar"])
+        if proxy >= self.proxies:
+            raise ValueError(f"sidecar {proxy} of {self.proxies}")
+        return proxy
+
+    def _zone(self, name: str) -> int:
+        return self.zones[name]
+
+    def roll(self, message: memoryview | dict) -> Roll:
+        """A list of nodes, whole or changed entries only; an entry that cannot be read spoils it."""
+        table = message if isinstance(message, dict) else parsed(message)
+        try:
+            members = table["members"]
+            entries = [(self.place(one["id"]), self._zone(one["locality"]), _amount(one.get("up_since_ms", 0)) / 1000,
+                        _STATES[one["phase"]], _amount(one.get("size", 1.0))) for one in members]
+            addresses = [(self.place(one["id"]), address(one["host_port"])) for one in members
+                         if one.get("host_port")]
+            return Roll(_count(table["revision"]), bool(table.get("complete")), entries, addresses)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise Ended(Ending.UNREADABLE, f"the list: {error!r}") from None
+
+    def message(self, parts: tuple[Part, ...]) -> bytes:
+        """One message to a proxy, a line a part."""
+        last = len(parts) - 1
+        return b"".join(orjson.dumps(self._update(part, at < last)) + b"\n" for at, part in enumerate(parts))
+
+    def _update(self, part: Part, continued: bool) -> dict:
+        table: dict = {"msg": "update"}
+        if part.kinds:
+            table["routes"] = [self.kind_names[kind] for kind in part.kinds]
+        if part.whole:
+            table["full"] = True
+        if part.whole or part.lines:
+            table["endpoints"] = [[self.nodes[node], weight] for node, weight in part.lines]
+        if part.level is not None:
+            table |= {"admit": part.level, "policy": part.tries}
+        if part.out:
+            table["eject"] = self._ids(part.out)
+        if part.back:
+            table["restore"] = self._ids(part.back)
+        if part.mark is not None:
+            table["nonce_out"] = part.mark
+        if continued:
+            table["continued"] = True
+        return table
+
+    def _ids(self, nodes: Iterable[int]) -> list[str]:
+        return [self.nodes[node] for node in nodes]
+
+
+_READERS = {"joined": Codec._joined, "applied": Codec._applied, "heard": Codec._met, "usage": Codec._came}
+
+
+def load(report: object) -> our.Load:
+    """A load report by our names; what is missing, negative or no number is not told.
+
+    >>> load({"inflight": 7, "util": -1, "other": 2}), load(None)
+    ((7.0, None, None), (None, None, None))
+    """
+    values = (report.get(name) if isinstance(report, dict) else None for name in _LOADS)
+    held, busy, waiting = (float(value) if _is_amount(value) else None for value in values)
+    return held, busy, waiting
+
+
+def _is_amount(value: object) -> bool:
+    return isinstance(value, (int, float)) and not isinstance(value, bool) and math.isfinite(value) and value >= 0
+
+
+def _amount(value: object) -> float:
+    if not _is_amount(value):
+        raise ValueError(f"{value!r} is no amount")
+    return float(value)
+
+
+def _count(value: object) -> int:
+    return int(_amount(value))
--- /dev/null
+++ b/oatcart/net/conductor.py
@@ -0,0 +1,96 @@
+"""Rounds: all that came in since the last one goes to the module in one call, its orders to the proxies."""
+
+import traceback
+from collections import deque
+from collections.abc import Callable, Iterator
+
+from oatcart import interface as our
+from oatcart.net.codec import Codec
+from oatcart.net.ending import Ended
+from oatcart.net.log import Log
+from oatcart.net.loop import Loop
+from oatcart.net.probe import Prober
+from oatcart.net.roll import Watcher
+from oatcart.net.stream import Stream
+from oatcart.tables import Tables
+
+FAILED_WAKE = 0.25  # s until the next round after one that failed and may not have asked for a wake
+
+
+class Rounds(Tables):
+    """The order writer on sockets."""
+
+    def __init__(self, loop: Loop, log: Log, codec: Codec, least_gap: float, unix: float) -> None:
+        super().__init__(len(codec.kind_names))
+        self.loop, self.log, self.codec, self.least_gap = loop, log, codec, least_gap
+        self.offset = unix - loop.now  # the roll tells starts by Unix time; it is read once, so never jumps
+        self.came: deque[tuple] = deque()
+        self.streams: dict[int, Stream] = {}
+        self.due = self.set_off = False
+        self.last = loop.now - least_gap
+
+    def start(self, call: Callable, watcher: Watcher, prober: Prober) -> None:
+        self.call, self.watcher, self.prober = call, watcher, prober
+        self.probe, self.follow, self.fetch_roll = prober.probe, watcher.follow, watcher.fetch
+
+    def arrive(self, arrival: tuple) -> None:
+        self.came.append(arrival)
+        self.due = True
+
+    def join(self, proxy: int, blank: bool, stream: Stream) -> None:
+        self.streams[proxy] = stream
+        self.joined(proxy, blank)
+
+    def leave(self, proxy: int, stream: Stream) -> bool:
+        """Whether the proxy has left with this stream; an old one that ends late says nothing."""
+        if self.streams.get(proxy) is not stream:
+            return False
+        del self.streams[proxy]
+        self.left(proxy)
+        return True
+
+    def wake(self, after: float) -> None:
+        self.loop.at(self.loop.now + after, self._woken)
+
+    def _woken(self) -> None:
+        self.due = True
+
+    def note(self, text: str) -> None:
+        self.log.say("note", text)
+
+    def turn(self) -> None:
+        """After each turn of the loop: a round, if one is due and the last is far enough back."""
+        if not self.due:
+            return
+        if self.loop.now - self.last < self.least_gap:
+            if not self.set_off:
+                self.set_off = True
+                self.loop.at(self.last + self.least_gap, lambda: setattr(self, "set_off", False))
+            return
+        self.due, self.last = False, self.loop.now
+        self._round(self.loop.now + self.offset)
+        self._tell()
+
+    def _round(self, now: float) -> None:
+        """A mistake in one arrival costs that arrival alone: the module goes on behind it."""
+        while True:
+            try:
+                return self.call(now, self._drain(), self)
+            except Exception:
+                self.log.say("round", f"failed, {len(self.came)} arrivals left\n{traceback.format_exc()}")
+                if not self.came:
+                    return self.wake(FAILED_WAKE)
+
+    def _drain(self) -> Iterator[tuple]:
+        while self.came:
+            yield self.came.popleft()
+
+    def _tell(self) -> None:
+        encoded: dict[tuple, bytes] = {}
+        for proxy, parts in self.messages():
+            if parts not in encoded:
+                encoded[parts] = self.codec.message(parts)
+            try:
+                self.streams[proxy].write(encoded[parts])
+            except Ended as ended:
+                self.log.say("stream", f"proxy {proxy} cannot be told: {ended}")
--- /dev/null
+++ b/oatcart/net/http.py
@@ -0,0 +1,66 @@
+"""Calls over HTTP/1.1, parsed by h11; the connection is kept for the next call."""
+
+from collections.abc import Generator
+
+import h11
+
+from oatcart.net.ending import Ended, Ending
+from oatcart.net.loop import Loop, Wait
+from oatcart.net.stream import MESSAGE_MOST, Address, Stream, dial
+
+OK = 200
+HEAD_MOST = 16 * 1024  # bytes of an answer's head; h11's own default
+
+
+class Client:
+    def __init__(self, loop: Loop, address: Address) -> None:
+        self.loop, self.address = loop, address
+        self.host = "{}:{}".format(*address).encode()
+        self.stream: Stream | None = None
+
+    def get(self, path: str, until: float) -> Generator[Wait, bool, memoryview]:
+        """The body of the answer to one call; raises Ended, DENIED for any status but 200."""
+        try:
+            if self.stream is None:
+                self.stream = yield from dial(self.loop, self.address, until)
+                self.http = h11.Connection(h11.CLIENT, HEAD_MOST)
+            head = h11.Request(method="GET", target=path, headers=[("Host", self.host)])
+            self.stream.write(self.http.send(head) + self.http.send(h11.EndOfMessage()))
+            status, body = yield from self._answer(until)
+        except h11.ProtocolError as error:
+            self.close()
+            raise Ended(Ending.UNREADABLE, str(error)) from None
+        except BaseException:
+            self.close()
+            raise
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.http.start_next_cycle()
+        else:
+            self.close()
+        if status != OK:
+            raise Ended(Ending.DENIED, f"status {status}")
+        return body
+
+    def _answer(self, until: float) -> Generator[Wait, bool, tuple[int, memoryview]]:
+        status, parts, size = 0, [], 0
+        while True:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                part = yield from self.stream.some(until)
+                if not part and self.http.their_state is h11.SEND_RESPONSE:
+                    raise Ended(Ending.CLOSED)
+                self.http.receive_data(part)
+            elif type(event) is h11.Response:
+                status = event.status_code
+            elif type(event) is h11.Data:
+                parts.append(event.data)  # h11's own copy
+                size += len(event.data)
+                if size > MESSAGE_MOST:
+                    raise Ended(Ending.TOO_LONG)
+            elif type(event) is h11.EndOfMessage:
+                return status, memoryview(b"".join(parts))
+
+    def close(self) -> None:
+        if self.stream is not None:
+            self.stream.close()
+            self.stream = None
--- /dev/null
+++ b/oatcart/net/probe.py
@@ -0,0 +1,41 @@
+"""Probes: one call to a node, whose ending is its outcome."""
+
+from collections.abc import Callable, Generator
+
+from oatcart.net.codec import load, parsed
+from oatcart.net.ending import PROBE_OUTCOMES, Ended, Ending
+from oatcart.net.http import Client
+from oatcart.net.loop import Loop, Wait
+from oatcart.net.stream import Address
+
+PROBES_MOST = 64  # at a time, each a descriptor; a round asks for one a withdrawn node
+
+
+class Prober:
+    def __init__(self, loop: Loop, path: str, within: float, addresses: dict[int, Address],
+                 arrive: Callable[[tuple], None]) -> None:
+        self.loop, self.path, self.within = loop, path, within
+        self.addresses, self.arrive = addresses, arrive
+        self.under_way = 0
+
+    def probe(self, node: int) -> None:
+        self.loop.spawn(self._probe(node))
+
+    def _probe(self, node: int) -> Generator[Wait, bool, None]:
+        """The life of a probe: dial, ask, and tell the module how it ended."""
+        began, told, ending = self.loop.now, (None, None, None), Ending.DONE
+        self.under_way += 1
+        try:
+            if self.under_way > PROBES_MOST or node not in self.addresses:
+                raise Ended(Ending.CROWDED)
+            client = Client(self.loop, self.addresses[node])
+            try:
+                body = yield from client.get(self.path, began + self.within)
+            finally:
+                client.close()
+            told = load(parsed(body)) if body else told
+        except Ended as ended:
+            ending = ended.ending
+        finally:
+            self.under_way -= 1
+        self.arrive(("probed", node, PROBE_OUTCOMES[ending], self.loop.now - began, told))
--- /dev/null
+++ b/oatcart/net/roll.py
@@ -0,0 +1,72 @@
+"""The roll: the list of nodes, watched and fetched at discovery."""
+
+from collections.abc import Callable, Generator
+
+from oatcart.net.codec import ROLL_PATH, Codec, Roll, watch_path
+from oatcart.net.ending import Ended
+from oatcart.net.http import Client
+from oatcart.net.log import Log
+from oatcart.net.loop import Loop, Task, Wait
+from oatcart.net.stream import Address
+
+CALL_MOST = 2.0  # s beyond the wait that a call asks for; from then on its news counts as told
+
+
+class Watcher:
+    def __init__(self, loop: Loop, codec: Codec, log: Log, discovery: Address, wait: float,
+                 arrive: Callable[[tuple], None]) -> None:
+        self.loop, self.codec, self.log, self.discovery = loop, codec, log, discovery
+        self.wait, self.arrive = wait, arrive
+        self.revision = 0
+        self.addresses: dict[int, Address] = {}
+        self.watching: Task | None = None
+        self.fetching: Task | None = None
+
+    def take(self, roll: Roll, since: int = 0) -> None:
+        """What came late says nothing new; older than what was asked for, discovery has started over."""
+        self.addresses |= roll.addresses
+        if roll.revision >= self.revision or roll.revision < since:
+            self.revision = roll.revision
+            self.arrive(("listed", roll.whole, roll.entries))
+        else:
+            self.arrive(("listed", False, []))
+
+    def follow(self, on: bool) -> None:
+        if self.watching is not None:
+            self.loop.end(self.watching)
+            self.watching = None
+        if on:
+            self.watching = self.loop.spawn(self._watch())
+
+    def fetch(self) -> None:
+        if self.fetching is None:
+            self.fetching = self.loop.spawn(self._fetch())
+
+    def _watch(self) -> Generator[Wait, bool, None]:
+        """The life of a watch: the first answer at once, then each as it comes, until a call fails."""
+        client, wait = Client(self.loop, self.discovery), 0.0
+        try:
+            while True:
+                until = self.loop.now + wait + CALL_MOST
+                since = self.revision
+                self.take(self.codec.roll((yield from client.get(watch_path(since, wait), until))), since)
+                wait = self.wait
+        except Ended as ended:
+            self.watching = None
+            self._failed("watch", ended)
+        finally:
+            client.close()
+
+    def _fetch(self) -> Generator[Wait, bool, None]:
+        client = Client(self.loop, self.discovery)
+        try:
+            self.take(self.codec.roll((yield from client.get(ROLL_PATH, self.loop.now + CALL_MOST))))
+        except Ended as ended:
+            self._failed("fetch", ended)
+        finally:
+            self.fetching = None
+            client.close()
+
+    def _failed(self, what: str, ended: Ended) -> None:
+        self.log.say("roll", f"the {what} ended: {ended}")
+        self.arrive(("unlisted",))
--- /dev/null
+++ b/oatcart/net/stream.py
@@ -0,0 +1,142 @@
+"""A connection's bytes: what is read stays in one buffer and is handed out in slices of it.
+
+A slice is good until the next read; who needs it longer copies it.
+"""
+
+import socket
+from collections.abc import Generator
+from contextlib import suppress
+from math import inf
+
+from oatcart.net.ending import Ended, Ending, ended_by
+from oatcart.net.loop import IN, OUT, Loop, Wait
+
+BUFFER_FIRST = 16 * 1024  # bytes; a turn's reading of one connection, some hundred reports
+MESSAGE_MOST = 1024 * 1024  # bytes of a line or of an answer's part: the protocol's limit
+UNSENT_MOST = 256 * 1024  # bytes; hundreds of tables, so whoever leaves them unread is silent, not slow
+
+Address = tuple[str, int]
+
+
+class Stream:
+    def __init__(self, loop: Loop, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        self.loop, self.sock, self.fd = loop, sock, sock.fileno()
+        self.view = memoryview(bytearray(BUFFER_FIRST))
+        self.start = self.seen = self.end = 0  # bytes handed out, searched and read
+        self.unsent = bytearray()
+        self.flushing = None
+        self.open = True
+
+    def line(self, until: float = inf) -> Generator[Wait, bool, memoryview]:
+        """The next line without its end."""
+        while True:
+            at = self.view.obj.find(b"\n", self.seen, self.end)
+            if at >= 0:
+                line, self.start = self.view[self.start:at], at + 1
+                self.seen = self.start
+                return line
+            self.seen = self.end
+            if self.end - self.start > MESSAGE_MOST:
+                raise Ended(Ending.TOO_LONG)
+            if not (yield from self._fill(until)):
+                raise Ended(Ending.CLOSED)
+
+    def some(self, until: float = inf) -> Generator[Wait, bool, memoryview]:
+        """All that is there, at least a byte; nothing once the other side has closed."""
+        if self.start == self.end:
+            yield from self._fill(until)
+        part, self.start = self.view[self.start:self.end], self.end
+        self.seen = self.end
+        return part
+
+    def _fill(self, until: float) -> Generator[Wait, bool, int]:
+        self._make_room()
+        while True:
+            if not (yield Wait(self.fd, IN, until)):
+                raise Ended(Ending.SILENT)
+            try:
+                size = self.sock.recv_into(self.view[self.end:])
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                raise ended_by(error) from None
+            self.end += size
+            return size
+
+    def _make_room(self) -> None:
+        """Move what is left to the front, in a larger buffer if it fills half of this one."""
+        left = self.end - self.start
+        if not left and len(self.view) > BUFFER_FIRST:
+            self.view = memoryview(bytearray(BUFFER_FIRST))
+        elif 2 * left > len(self.view):
+            larger = memoryview(bytearray(2 * len(self.view)))
+            larger[:left] = self.view[self.start:self.end]
+            self.view = larger
+        elif self.start:
+            self.view[:left] = self.view[self.start:self.end]
+        self.seen -= self.start
+        self.start, self.end = 0, left
+
+    def write(self, data: bytes) -> None:
+        """Send at once what goes, keep the rest in order; never waits. Raises Ended."""
+        if self.unsent:
+            self.unsent += data
+        else:
+            sent = self._send(data)
+            if sent < len(data):
+                self.unsent += memoryview(data)[sent:]
+                self.flushing = self.loop.spawn(self._flush())
+        if len(self.unsent) > UNSENT_MOST:  # a message left out would spoil all later ones, so it is the end
+            with suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)  # the reader learns of it as of any other end
+            raise Ended(Ending.UNREAD)
+
+    def _send(self, data: bytes | bytearray) -> int:
+        try:
+            return self.sock.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise ended_by(error) from None
+
+    def _flush(self) -> Generator[Wait, bool, None]:
+        while self.unsent:
+            yield Wait(self.fd, OUT)
+            try:
+                del self.unsent[:self._send(self.unsent)]
+            except Ended:  # the reader of this connection learns of it too
+                self.unsent.clear()
+        self.flushing = None
+
+    def close(self) -> None:
+        if self.open:
+            self.open = False
+            self.loop.close(self.fd)
+            self.sock.close()
+
+
+def dial(loop: Loop, address: Address, until: float) -> Generator[Wait, bool, Stream]:
+    """A connection of our own."""
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    except OSError as error:
+        raise ended_by(error) from None
+    stream = Stream(loop, sock)
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.connect(address)
+    except BlockingIOError:
+        pass
+    except OSError as error:
+        stream.close()
+        raise ended_by(error) from None
+    try:
+        if not (yield Wait(stream.fd, OUT, until)):
+            raise Ended(Ending.UNREACHED)
+        if error := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            raise ended_by(OSError(error, ""))
+    except BaseException:
+        stream.close()
+        raise
+    return stream
--- a/oatcart/simhost/host.py
+++ b/oatcart/simhost/host.py
@@ -4,70 +4,16 @@
 import math
 
 from oatcart import interface as our
+from oatcart.handover import start_records
 from oatcart.policy import Conductor
 from oatcart.simhost import wire
 
 _OUTCOMES = {0: our.ANSWERED, 5: our.ERRORED, 11: our.TURNED_AWAY, 110: our.SILENT,
              111: our.UNREACHED, 104: our.UNREACHED}
-_REPEATS = {"idempotent": our.REPLAYABLE, "deduplicated": our.UNIQUED}
-_ADMITS = {"fraction": our.BY_SHARE, "per_second": our.BY_RATE}
 _LOADS = ("concurrent", "load_share", "depth")
 _FULL, _CACHED, _FAILED = 2, 1, 4
 
 
-def seconds(table: dict, key: str, default: float = 0.0) -> float:
-    """A time of the settings in seconds.
-
-    >>> seconds({"aim": 250.0}, "aim"), seconds({}, "aim", 2.0)
-    (0.25, 2.0)
-    """
-    value = table.get(key)
-    return default if value is None else value / 1000
-
-
-def _given(record: type, **values):
-    """A record with the values that are there; the others keep its defaults."""
-    return record(**{key: value for key, value in values.items() if value is not None})
-
-
-def _req_kind(grade: dict, home: bool, zones: list[str]) -> our.ReqKind:
-    names = grade.get("onlyZones") or []
-    return our.ReqKind(
-        value=grade.get("worth", 1.0),
-        response_target=seconds(grade, "aim", 1.0),
-        repeat=_REPEATS.get(grade.get("idempotency"), our.NON_REPLAYABLE),
-        home_zone=home,
-        zones=tuple(zones.index(z) if isinstance(z, str) else int(z) for z in names if z in zones or
-                    not isinstance(z, str)),
-    )
-
-
-def conductor_from(params: dict, seed: int) -> Conductor:
-    """A conductor started with what the wire's settings say, each part in a record of its own."""
-    plane, rules = params.get("specifics") or {}, params.get("rules") or {}
-    grades = params.get("grades") or []
-    home = plane.get("zoneBound") or []
-    return Conductor(
-        seed=seed,
-        kinds=[_req_kind(grade, place < len(home) and home[place], params.get("zones") or [])
-               for place, grade in enumerate(grades)],
-        roll=our.RollManners(
-            must_ask=params.get("membershipMode") == "subscribe",
-            nominal_told=params.get("weights", "off") != "off"),
-        channel=_given(
-            our.ChannelLimits, line_rate=plane.get("pushRate"), head=plane.get("envelope"),
-            queue_most=plane.get("queueCap"), messages_most=plane.get("messagesMost"),
-            messages_over=seconds(plane, "updateWindow", 10.0)),
-        cold=_given(
-            our.ColdLimits, warm_after=seconds(rules, "cold"), share_at_start=rules.get("coldShare"),
-            fall_multiple=rules.get("tipMultiple")),
-        report_period=seconds(plane, "period", 1.0),
-        admitting=_ADMITS.get(plane.get("admit"), our.NOT_AT_ALL),
-        crossing_price=(params.get("penalties") or {}).get("crossZone", 0.0),
-        may_probe=bool((params.get("policyLimits") or {}).get("probes")),
-    )
-
-
 class Orders:
     """Writes one instance's orders as records of the reply."""
 
@@ -101,9 +47,6 @@
     def fetch_roll(self) -> None:
         self._write(wire.fetch(self._inst))
 
-    def tell(self, peer: int, body: bytes) -> None:
-        self._write(wire.tell(self._inst, peer, body))
-
     def wake(self, after: float) -> None:
         self._write(wire.wake(self._inst, 0, after * 1000))
 
@@ -117,7 +60,7 @@
     def __init__(self, inst: int, seed: int, params: bytes) -> None:
         settings = json.loads(params)
         self.inst = inst
-        self.conductor = conductor_from(settings, seed)
+        self.conductor = Conductor(seed=seed, **start_records(settings))
         self.fields = list((settings.get("report") or {}).get("fields") or [])
         self.nodes: list[int] = []
         self.places: dict[int, int] = {}
--- a/oatcart/simhost/wire.py
+++ b/oatcart/simhost/wire.py
@@ -8,8 +8,6 @@
 from collections.abc import Iterator
 from typing import BinaryIO
 
-EVERYONE = 0xFFFF  # the table and the peer number that stand for all of them
-
 _BATCH = struct.Struct(">IId")
 _REPLY = struct.Struct(">II")
 _ENTRY = struct.Struct(">IHdBBfH")
@@ -127,7 +125,6 @@
 _WAKE = struct.Struct(">BIQd")
 _NODE = struct.Struct(">BII")
 _TEXT = struct.Struct(">BIH")
-_PEER = struct.Struct(">BIHH")
 _FLAG = struct.Struct(">BIB")
 _BARE = struct.Struct(">BI")
 _LINE = struct.Struct(">BIIfH")
@@ -150,14 +147,6 @@
     return _NODE.pack(2, inst, node)
 
 
-def tell(inst: int, peer: int, body: bytes) -> bytes:
-    """
-    >>> tell(3, EVERYONE, b"h i ").hex()
-    '0300000003ffff000468206920'
-    """
-    return _PEER.pack(3, inst, peer, len(body)) + body
-
-
 def note(inst: int, text: str) -> bytes:
     """
     >>> note(5, "two servers known").hex()
--- /dev/null
+++ b/oatcart/tables.py
@@ -0,0 +1,161 @@
+"""What stands at the proxies: tables, bindings, levels, withdrawals.
+
+A round's orders are noted here, then told as one message a proxy: a tuple of parts that differ only in what
+changed. Nothing is paced or chosen here; what a proxy was told on its stream is never told again.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from oatcart import interface as our
+
+
+class Part(NamedTuple):
+    """One part of a message; with 16 kinds at most there are under 33 of them. No kinds: all of them."""
+
+    kinds: tuple[int, ...] = ()
+    whole: bool = False
+    lines: tuple[tuple[int, float], ...] = ()
+    level: float | None = None
+    tries: int = 0
+    out: tuple[int, ...] = ()
+    back: tuple[int, ...] = ()
+    mark: int | None = None
+
+
+@dataclass(slots=True)
+class Table:
+    lines: dict[int, float] = field(default_factory=dict)
+    levels: dict[int, tuple[float, int]] = field(default_factory=dict)  # by kind: level, way of trying again
+    changed: dict[int, float] = field(default_factory=dict)  # this round
+    relevelled: set[int] = field(default_factory=set)
+    emptied: bool = False
+
+
+@dataclass(slots=True)
+class Proxy:
+    blank: bool  # holds nothing that was ordered: what it was not told of is let in
+    bound: dict[int, int] = field(default_factory=dict)  # kinds, as bits, by table
+    fresh: set[int] = field(default_factory=set)  # tables that it was bound to this round
+    shut: dict[int, bool] = field(default_factory=dict)  # by node: what this stream told of withdrawals
+
+
+class Tables:
+    """An order writer for all that goes to proxies."""
+
+    def __init__(self, kinds: int) -> None:
+        self.all_kinds = (1 << kinds) - 1
+        self.tables: dict[int, Table] = {}
+        self.proxies: dict[int, Proxy] = {}
+        self.shut: set[int] = set()
+        self.for_all: dict[int, tuple[float, int]] = {}  # levels of every table
+        self._forget_round()
+
+    def _forget_round(self) -> None:
+        self.turned: list[int] = []
+        self.all_relevelled: set[int] = set()
+        self.mark: int | None = None
+        self.mark_all = False
+
+    def joined(self, proxy: int, blank: bool) -> None:
+        self.proxies[proxy] = Proxy(blank)
+
+    def left(self, proxy: int) -> None:
+        self.proxies.pop(proxy, None)
+
+    def _table(self, table: int) -> Table:
+        return self.tables.setdefault(table, Table())
+
+    def line(self, table: int, node: int, weight: float) -> None:
+        one = self._table(table)
+        one.changed[node] = weight
+        if weight > 0:
+            one.lines[node] = weight
+        else:
+            one.lines.pop(node, None)
+
+    def blank(self, table: int) -> None:
+        self.tables[table] = Table(emptied=True)
+
+    def bind(self, table: int, proxy: int, kinds: int) -> None:
+        if proxy not in self.proxies:
+            return
+        self._table(table)
+        one, kinds = self.proxies[proxy], kinds or self.all_kinds
+        one.bound = {at: rest for at, old in one.bound.items() if (rest := old & ~kinds) or at == table}
+        one.bound[table] = one.bound.get(table, 0) | kinds
+        one.fresh.add(table)
+
+    def withdraw(self, node: int, out: bool) -> None:
+        (self.shut.add if out else self.shut.discard)(node)
+        self.turned.append(node)
+
+    def admit(self, table: int, kinds: int, level: float, tries: int) -> None:
+        every = table == our.ALL_TABLES
+        levels = self.for_all if every else self._table(table).levels
+        told = self.all_relevelled if every else self._table(table).relevelled
+        for kind in _places(kinds or self.all_kinds):
+            levels[kind] = (level, tries)
+            told.add(kind)
+
+    def ask_ack(self, mark: int, everyone: bool) -> None:
+        self.mark, self.mark_all = mark, everyone
+
+    def messages(self) -> Iterator[tuple[int, tuple[Part, ...]]]:
+        """One message for each proxy concerned; afterwards the round's changes are told."""
+        for proxy, one in self.proxies.items():
+            parts = self._parts(one)
+            if self.mark is not None and (parts or self.mark_all):
+                parts = parts or [Part()]
+                parts[-1] = parts[-1]._replace(mark=self.mark)
+            if parts:
+                yield proxy, tuple(parts)
+        for one in self.proxies.values():
+            one.fresh.clear()
+        for table in self.tables.values():
+            table.changed, table.relevelled, table.emptied = {}, set(), False
+        self._forget_round()
+
+    def _parts(self, proxy: Proxy) -> list[Part]:
+        parts, met, free = [], list(self.turned), self.all_kinds
+        for at, kinds in proxy.bound.items():
+            table, free = self.tables[at], free & ~kinds
+            whole = at in proxy.fresh or table.emptied
+            lines = table.lines if whole else table.changed
+            levels = table.levels.keys() | self.for_all.keys() if whole else \
+                table.relevelled | self.all_relevelled
+            met += [node for node, weight in lines.items() if weight > 0]
+            if whole or lines:
+                parts.append(Part(self._named(kinds), whole, tuple(lines.items())))
+            parts += self._levels(table, [kind for kind in _places(kinds) if kind in levels])
+        if self.all_relevelled:
+            parts += self._levels(Table(), [kind for kind in _places(free) if kind in self.all_relevelled])
+        return self._with_turned(proxy, met, parts)
+
+    def _levels(self, table: Table, kinds: list[int]) -> list[Part]:
+        """Kinds of the same level share a part; of the table's and everybody's, the lower level holds."""
+        groups: dict[tuple[float, int], int] = {}
+        for kind in kinds:
+            level, tries = table.levels.get(kind) or self.for_all[kind]
+            level = min(level, self.for_all.get(kind, (level,))[0])
+            groups[level, tries] = groups.get((level, tries), 0) | 1 << kind
+        return [Part(self._named(bits), level=level, tries=tries) for (level, tries), bits in groups.items()]
+
+    def _with_turned(self, proxy: Proxy, met: list[int], parts: list[Part]) -> list[Part]:
+        """A proxy keeps what any conductor withdrew, so each node that it meets is told as it stands now."""
+        turned = {node: out for node in met
+                  if proxy.shut.get(node, False if proxy.blank else None) != (out := node in self.shut)}
+        if turned:
+            proxy.shut |= turned
+            parts = parts or [Part()]
+            parts[0] = parts[0]._replace(out=tuple(node for node, out in turned.items() if out),
+                                         back=tuple(node for node, out in turned.items() if not out))
+        return parts
+
+    def _named(self, kinds: int) -> tuple[int, ...]:
+        return () if kinds == self.all_kinds else tuple(_places(kinds))
+
+
+def _places(bits: int) -> Iterator[int]:
+    return (place for place in range(bits.bit_length()) if bits >> place & 1)
