--- a/oatcart/handover.py
+++ b/oatcart/handover.py
@@ -1,9 +1,13 @@
-"""The start records of a conductor, read from the settings object that both hosts are handed."""
+"""What both hosts are handed in the same form: the settings object and load reports."""
+
+import math
 
 from oatcart import interface as our
 
 _REPEATS = {"idempotent": our.REPLAYABLE, "deduplicated": our.UNIQUED}
 _ADMITS = {"fraction": our.BY_SHARE, "per_second": our.BY_RATE}
+# In the order of our.Load: the settings' names, which reports bear on sockets too, and those of the protocol's page
+_LOADS = (("concurrent", "inflight"), ("load_share", "util"), ("depth", "queue"))
 
 
 def seconds(table: dict, key: str, default: float = 0.0) -> float:
@@ -55,3 +59,19 @@
         crossing_price=(settings.get("penalties") or {}).get("crossZone", 0.0),
         may_probe=bool((settings.get("policyLimits") or {}).get("probes")),
     )
+
+
+def is_amount(value: object) -> bool:
+    return isinstance(value, (int, float)) and not isinstance(value, bool) and math.isfinite(value) and value >= 0
+
+
+def load(report: object) -> our.Load:
+    """A load report by our names; what is missing, negative or no number is not told.
+
+    >>> load({"concurrent": 7, "util": -1, "other": 2}), load({"queue": float("nan")}), load(None)
+    ((7, None, None), (None, None, None), (None, None, None))
+    """
+    told = report if isinstance(report, dict) else {}
+    held, busy, waiting = (next((told[name] for name in names if is_amount(told.get(name))), None)
+                           for names in _LOADS)
+    return held, busy, waiting
--- a/oatcart/net/codec.py
+++ b/oatcart/net/codec.py
@@ -1,18 +1,17 @@
 """The protocol's messages and our arrivals and parts. The wire's names stand here and nowhere else."""
 
-import math
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 import orjson
 
 from oatcart import interface as our
+from oatcart.handover import is_amount, load
 from oatcart.net.ending import Ended, Ending
 from oatcart.net.stream import Address
 from oatcart.tables import Part
 
 _STATES = {"SERVING": our.READY, "DRAINING": our.DRAINING, "DELETED": our.GONE}
-_LOADS = ("inflight", "util", "queue")  # in the order of our.Load
 PING, PONG, COLLECTOR = "ping", b'{"msg":"pong"}\n', "collector"
 ROLL_PATH, HEALTH_PATH, LOAD_PATH = "/v1/servers", "/healthz", "/load"
 
@@ -151,23 +150,8 @@
 _READERS = {"joined": Codec._joined, "applied": Codec._applied, "heard": Codec._met, "usage": Codec._came}
 
 
-def load(report: object) -> our.Load:
-    """A load report by our names; what is missing, negative or no number is not told.
-
-    >>> load({"inflight": 7, "util": -1, "other": 2}), load(None)
-    ((7.0, None, None), (None, None, None))
-    """
-    values = (report.get(name) if isinstance(report, dict) else None for name in _LOADS)
-    held, busy, waiting = (float(value) if _is_amount(value) else None for value in values)
-    return held, busy, waiting
-
-
-def _is_amount(value: object) -> bool:
-    return isinstance(value, (int, float)) and not isinstance(value, bool) and math.isfinite(value) and value >= 0
-
-
 def _amount(value: object) -> float:
-    if not _is_amount(value):
+    if not is_amount(value):
         raise ValueError(f"{value!r} is no amount")
     return float(value)
 
--- a/oatcart/net/probe.py
+++ b/oatcart/net/probe.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable, Generator
 
-from oatcart.net.codec import load, parsed
+from oatcart.handover import load
+from oatcart.net.codec import parsed
 from oatcart.net.ending import PROBE_OUTCOMES, Ended, Ending
 from oatcart.net.http import Client
 from oatcart.net.loop import Loop, Wait
--- a/oatcart/simhost/host.py
+++ b/oatcart/simhost/host.py
@@ -1,16 +1,14 @@
 """Instances on the simulator's wire: numbers and units are turned at this door, both ways."""
 
 import json
-import math
 
 from oatcart import interface as our
-from oatcart.handover import start_records
+from oatcart.handover import load, start_records
 from oatcart.policy import Conductor
 from oatcart.simhost import wire
 
 _OUTCOMES = {0: our.ANSWERED, 5: our.ERRORED, 11: our.TURNED_AWAY, 110: our.SILENT,
              111: our.UNREACHED, 104: our.UNREACHED}
-_LOADS = ("concurrent", "load_share", "depth")
 _FULL, _CACHED, _FAILED = 2, 1, 4
 
 
@@ -73,10 +71,7 @@
         return self.places[node]
 
     def load(self, values: tuple[float, ...]) -> our.Load:
-        """A load report by our names; what is not told, or is no number, is None."""
-        told = {name: value for name, value in zip(self.fields, values) if math.isfinite(value) and value >= 0}
-        held, busy, waiting = (told.get(name) for name in _LOADS)
-        return held, busy, waiting
+        return load(dict(zip(self.fields, values)))
 
     def arrival(self, record: tuple) -> tuple | None:
         """A wire record as the module is told of it; None for what it has no use for."""
