Scenarios for the net code on loopback; bad configuration named; the log tells how turns go

Observed: the net code had no test. Scenarios in text files now play greetings, bytes in pieces, strangers, too long lines, replaced streams, messages and tables, the watch and its failures, every ending of a probe, odd reports and a module that raises; plain asserts cover unread output, EMFILE on accept, both signals and each field of a bad configuration.

--- a/oatcart/net/codec.py
+++ b/oatcart/net/codec.py
@@ -30,7 +30,7 @@
     ('127.0.0.1', 5000)
     """
     host, _, port = host_port.rpartition(":")
-    if not host or not 0 < int(port) < 65536:
+    if not host or not 0 <= int(port) < 65536:
         raise ValueError(f"{host_port!r} is not host:port")
     return host, int(port)
 
--- a/oatcart/net/conductor.py
+++ b/oatcart/net/conductor.py
@@ -15,6 +15,7 @@
 from oatcart.tables import Tables
 
 FAILED_WAKE = 0.25  # s until the next round after one that failed and may not have asked for a wake
+TELL_EVERY = 30.0  # s between the log's lines on how this process keeps up
 
 
 class Rounds(Tables):
@@ -28,6 +29,8 @@
         self.streams: dict[int, Stream] = {}
         self.due = self.set_off = False
         self.last = loop.now - least_gap
+        self.rounds, self.longest = 0, 0.0  # since the last line on how this process keeps up; s
+        self._keep_telling()
 
     def start(self, call: Callable, watcher: Watcher, prober: Prober) -> None:
         self.call, self.watcher, self.prober = call, watcher, prober
@@ -60,16 +63,25 @@
 
     def turn(self) -> None:
         """After each turn of the loop: a round, if one is due and the last is far enough back."""
-        if not self.due:
-            return
-        if self.loop.now - self.last < self.least_gap:
-            if not self.set_off:
-                self.set_off = True
-                self.loop.at(self.last + self.least_gap, lambda: setattr(self, "set_off", False))
-            return
-        self.due, self.last = False, self.loop.now
-        self._round(self.loop.now + self.offset)
-        self._tell()
+        if self.due and self.loop.now - self.last >= self.least_gap:
+            self.due, self.last = False, self.loop.now
+            self.rounds += 1
+            self._round(self.loop.now + self.offset)
+            self._tell()
+        elif self.due and not self.set_off:
+            self.set_off = True
+            self.loop.at(self.last + self.least_gap, self._gap_over)
+        self.longest = max(self.longest, self.loop.clock() - self.loop.now)
+
+    def _gap_over(self) -> None:
+        self.set_off = False
+
+    def _keep_telling(self) -> None:
+        if self.rounds:
+            self.log.say("turns", f"longest {self.longest * 1000:.1f} ms, {self.rounds} rounds, "
+                         f"{len(self.streams)} proxies, {len(self.loop.masks)} connections")
+        self.rounds, self.longest = 0, 0.0
+        self.loop.at(self.loop.now + TELL_EVERY, self._keep_telling)
 
     def _round(self, now: float) -> None:
         """A mistake in one arrival costs that arrival alone: the module goes on behind it."""
--- a/oatcart/net/roll.py
+++ b/oatcart/net/roll.py
@@ -47,9 +47,10 @@
         client, wait = Client(self.loop, self.discovery), 0.0
         try:
             while True:
-                until = self.loop.now + wait + CALL_MOST
-                since = self.revision
-                self.take(self.codec.roll((yield from client.get(watch_path(since, wait), until))), since)
+                since, until = self.revision, self.loop.now + wait + CALL_MOST
+                roll = self.codec.roll((yield from client.get(watch_path(since, wait), until)))
+                if not wait or roll.whole or roll.entries:  # a wait that brought nothing is no news
+                    self.take(roll, since)
                 wait = self.wait
         except Ended as ended:
             self.watching = None
--- /dev/null
+++ b/tests/stage.py
@@ -0,0 +1,210 @@
+"""The stage for scenarios of `tests/sockets`: the conductor's net code on loopback, with a scripted module.
+
+The clock is handed in and moves only by `at`; what travels on loopback is waited for by turning the loop.
+"""
+
+import io
+import json
+import socket
+import struct
+
+from oatcart.net import codec as wire
+from oatcart.net.conductor import Rounds
+from oatcart.net.door import KEPT_BACK, Door
+from oatcart.net.log import Log
+from oatcart.net.loop import Loop
+from oatcart.net.probe import Prober
+from oatcart.net.roll import Watcher
+
+TURNS, TURN = 400, 0.005  # turns of the loop until something must have come, s each; a met want ends them
+QUIET = 6  # turns after which nothing more is under way on loopback
+
+
+def value(word):
+    try:
+        return json.loads(word)
+    except ValueError:
+        return word
+
+
+def fields(words):
+    """`sidecar=5 az=a` as a table."""
+    return {name: value(text) for name, _, text in (word.partition("=") for word in words)}
+
+
+class Stage:
+    def __init__(self, cfg):
+        self.now, self.said, self.ordered, self.failing = 100.0, [], [], False
+        self.out, self.ends, self.read = io.StringIO(), {}, {}
+        self.desk = socket.create_server(("127.0.0.1", 0))  # discovery and all nodes in one
+        self.desk.setblocking(False)
+        self.calls = []
+        desk = self.desk.getsockname()
+        self.loop = Loop(lambda: self.now, self.failed)
+        log = Log(self.loop.clock, self.out, most=int(cfg.get("log_most", 100)))
+        self.codec = wire.Codec(["lookup", "order"], ["a", "b"], 64)
+        self.rounds = Rounds(self.loop, log, self.codec, cfg.get("gap", 0), 1000.0)
+        watcher = Watcher(self.loop, self.codec, log, desk, 5.0, self.rounds.arrive)
+        prober = Prober(self.loop, wire.LOAD_PATH, 0.25, watcher.addresses, self.rounds.arrive)
+        self.rounds.start(self.round, watcher, prober)
+        self.door = Door(self.loop, log, self.codec, self.rounds, int(KEPT_BACK + cfg.get("room", 100)))
+        self.listener = self.door.listen(("127.0.0.1", 0))
+
+    def failed(self, error):
+        raise error
+
+    def round(self, now, arrivals, orders):
+        """The scripted module: notes what comes, writes what the scenario orders."""
+        self.rounds_at = now
+        for arrival in arrivals:
+            if self.failing and arrival[0] == "applied":
+                raise ArithmeticError("a mistake")
+            self.said.append(" ".join(str(field) for field in arrival))
+        for name, args in self.ordered:
+            getattr(orders, name)(*args)
+        self.ordered = []
+
+    def turn(self, longest=0.0):
+        self.loop.turn(longest)
+        self.rounds.turn()
+
+    def until(self, met, what):
+        for _ in range(TURNS):
+            if found := met():
+                return found
+            self.turn(TURN)
+        raise AssertionError(f"at {self.now}: {what}; came {self.said}; log {self.out.getvalue()}")
+
+    def quiet(self):
+        for _ in range(QUIET):
+            self.turn(TURN)
+
+    def close(self):
+        for task in set(self.loop.waiting.values()):
+            self.loop.end(task)
+        for sock in (*self.ends.values(), *self.calls, self.desk, self.listener, self.loop.poll):
+            sock.close()
+
+    def line_from(self, name):
+        """The next message that the conductor wrote to an end; None while it is not whole."""
+        try:
+            while b"\n" not in self.read[name] and (data := self.ends[name].recv(65536)):
+                self.read[name] += data
+        except BlockingIOError:
+            pass
+        line, end, rest = self.read[name].partition(b"\n")
+        if end:
+            self.read[name] = rest
+        return json.loads(line) if end else None
+
+    def has_ended(self, name):
+        try:
+            return not self.ends[name].recv(65536)
+        except BlockingIOError:
+            return False
+        except ConnectionError:
+            return True
+
+    def call(self):
+        """The next call at the desk, as its first line."""
+        try:
+            while True:
+                sock, _ = self.desk.accept()
+                sock.setblocking(False)
+                self.calls.append(sock)
+        except BlockingIOError:
+            pass
+        for at, sock in enumerate(self.calls):
+            try:
+                if data := sock.recv(65536):
+                    self.calls.append(self.calls.pop(at))
+                    return data.split(b"\r\n")[0].decode()
+            except (BlockingIOError, OSError):
+                pass
+        return None
+
+    def play(self, line):
+        words = line.split()
+        do, name, rest = words[0], (words[1:2] or [""])[0], words[2:]
+        text = line.split(maxsplit=2)[-1]
+        if do == "at":
+            self.now = float(name)
+            self.quiet()
+        elif do == "dial":
+            self.ends[name] = socket.create_connection(self.listener.getsockname())
+            self.ends[name].setblocking(False)
+            self.read[name] = b""
+            self.quiet()
+        elif do == "say":
+            self.ends[name].sendall(json.dumps({"msg": rest[0]} | fields(rest[1:])).encode() + b"\n")
+        elif do == "raw":
+            self.ends[name].sendall(text.encode().decode("unicode_escape").encode())
+            self.quiet()
+        elif do == "flood":
+            self.ends[name].setblocking(True)
+            self.ends[name].sendall(b"x" * int(rest[0])) if rest else None
+            self.ends[name].setblocking(False)
+        elif do == "shut":
+            self.ends[name].shutdown(socket.SHUT_WR)
+        elif do == "close":
+            self.ends[name].close()
+        elif do == "reset":
+            self.ends[name].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.ends[name].close()
+        elif do == "ended":
+            self.until(lambda: self.has_ended(name), line)
+        elif do == "hears":
+            found = self.until(lambda: self.line_from(name), line)
+            assert found == {"msg": rest[0]} | fields(rest[1:]), f"{line}: {found}"
+        elif do == "silence":
+            self.quiet()
+            assert (found := self.line_from(name)) is None, f"{line}: {found}"
+        elif do == "told":
+            wanted = " ".join(words[1:])
+            self.until(lambda: self.said and (wanted in self.said), line)
+            self.said = self.said[self.said.index(wanted) + 1:]
+        elif do == "untold":
+            self.quiet()
+            assert not [one for one in self.said if one.startswith(" ".join(words[1:]))], f"{line}: {self.said}"
+        elif do == "order":
+            self.ordered.append((name, [value(word) for word in rest]))
+            self.rounds.due = True
+        elif do == "failing":
+            self.failing = bool(int(name))
+        elif do == "roll":
+            self.rounds.watcher.take(self.codec.roll(self.listed(fields(words[1:]))))
+        elif do == "asked":
+            found = self.until(self.call, line)
+            assert found == f"GET {name} HTTP/1.1", f"{line}: {found}"
+        elif do == "answer":
+            body = json.dumps(self.listed(fields(rest))).encode() if rest else b""
+            self.calls[-1].sendall(b"HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n" % (name.encode(), len(body)) + body)
+        elif do == "babble":
+            self.calls[-1].sendall(b"what?\r\n\r\n")
+        elif do == "hang":
+            self.calls.pop().close()
+        elif do == "logged":
+            self.until(lambda: " ".join(words[1:]) in self.out.getvalue(), line)
+            self.out.truncate(self.out.seek(0))
+        else:
+            raise ValueError(line)
+
+    def listed(self, table):
+        """A roll; members are written as `["id", zone, phase, started]` and stand at the desk."""
+        at = "{}:{}".format(*self.desk.getsockname())
+        return table | {"members": [
+            {"id": one[0], "host_port": at, "locality": one[1], "phase": one[2], "up_since_ms": one[3]}
+            if isinstance(one, list) else one for one in table["members"]]} if "members" in table else table
+
+
+def play(text):
+    """Play a scenario on sockets; the first line that is not met fails."""
+    lines = [line for part in text.splitlines() for line in (one.strip() for one in part.split("#")[0].split(";"))]
+    cfg = {line.split()[1]: float(line.split()[2]) for line in lines if line.startswith("set ")}
+    stage = Stage(cfg)
+    try:
+        for line in lines:
+            if line and not line.startswith("set "):
+                stage.play(line)
+    finally:
+        stage.close()
--- a/tests/test_policy.py
+++ b/tests/test_scenarios.py
@@ -1,14 +1,30 @@
-"""Plays the scenarios of `tests/scenarios` on the decision module; the notation is in `tests/README.md`."""
+"""Plays the scenarios: `tests/scenarios` on the decision module, `tests/sockets` on the net code round it.
 
+The notation is in `tests/README.md`.
+"""
+
+import errno
+import json
 import operator
+import os
+import signal
+import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
+import stage
 
 from oatcart import interface as our
+from oatcart.net.door import NO_ROOM_WAIT
+from oatcart.net.ending import Ended, Ending
+from oatcart.net.loop import Loop
+from oatcart.net.stream import UNSENT_MOST, Stream
 from oatcart.policy import Conductor
 
-SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+HERE = Path(__file__).parent
+SCENARIOS = sorted((HERE / "scenarios").glob("*.txt")) + sorted((HERE / "sockets").glob("*.txt"))
 REPEATS = {"replayable": our.REPLAYABLE, "uniqued": our.UNIQUED, "non-replayable": our.NON_REPLAYABLE}
 PLAIN = {"must_ask": 0, "line_rate": 1000, "head": 4, "queue_most": 2000, "messages_most": 0, "messages_over": 10,
          "warm_after": 16, "share_at_start": 0.2, "fall_multiple": 4, "crossing_price": 0,
@@ -163,7 +179,77 @@
 
 @pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
 def test_scenario(path):
-    play(path.read_text())
+    (stage.play if path.parent.name == "sockets" else play)(path.read_text())
+
+
+def test_what_is_left_unread_is_bounded():
+    ours, theirs = socket.socketpair()
+    loop = Loop(lambda: 0.0, lambda error: None)
+    stream, ended, sent = Stream(loop, ours), [], 0
+    with theirs, pytest.raises(Ended) as ended:
+        while sent < 100 * UNSENT_MOST:
+            stream.write(b"x" * 4096)
+            sent += 4096
+    assert ended.value.ending is Ending.UNREAD and len(stream.unsent) <= UNSENT_MOST + 4096
+    stream.close()
+
+
+def test_no_room_to_accept_neither_spins_nor_ends():
+    """EMFILE pauses the door; what waits in the backlog is taken once there is room."""
+    one = stage.Stage({})
+
+    class Full:
+        tries = 0
+
+        def fileno(self):
+            return listener.fileno()
+
+        def accept(self):
+            self.tries += 1
+            if self.tries == 1:
+                raise OSError(errno.EMFILE, "Too many open files")
+            return listener.accept()
+
+    full, listener = Full(), socket.create_server(("127.0.0.1", 0))
+    one.loop.spawn(one.door._accept(full))
+    with listener, socket.create_connection(listener.getsockname()) as end:
+        one.until(lambda: "no room" in one.out.getvalue(), "a line in the log")
+        one.quiet()
+        assert full.tries == 1
+        one.now += NO_ROOM_WAIT
+        end.sendall(b'{"msg":"ping"}\n')
+        one.quiet()
+        assert end.recv(100) == b'{"msg":"pong"}\n'
+        one.close()
+
+
+CONFIG = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f", "peers": [],
+          "limits": {"sockets": 256}, "known": {"revision": 1, "complete": True, "members": []},
+          "settings": {"grades": [{"name": "lookup"}], "zones": ["a"], "specifics": {"proxyCount": 4}, "quantum": 2.0,
+                       "membershipMode": "subscribe"}}
+
+
+def start(folder, **changes):
+    (folder / "cfg").write_text(json.dumps({key: val for key, val in (CONFIG | changes).items() if val is not None}))
+    return subprocess.Popen([sys.executable, "-m", "oatcart"], cwd=HERE.parent, stderr=subprocess.PIPE, text=True,
+                            env=os.environ | {"EDGE_CONFIG": str(folder / "cfg")})
+
+
+@pytest.mark.parametrize("end", [signal.SIGTERM, signal.SIGINT])
+def test_signals_end_with_0(tmp_path, end):
+    with start(tmp_path) as one:
+        assert "start: n0 listens" in one.stderr.readline()
+        one.send_signal(end)
+        assert one.wait(10) == 0
+
+
+@pytest.mark.parametrize("field, value", [("listen", None), ("listen", "nowhere"), ("listen", "192.0.2.1:5000"),
+                                          ("seed", "?"), ("discovery", "a:b"), ("settings", 3), ("settings", {"grades": 1}), ("known", {}),
+                                          ("limits", {})])
+def test_what_cannot_be_used_is_named(tmp_path, field, value):
+    with start(tmp_path, **{field: value}) as one:
+        said = one.stderr.read()
+        assert one.wait(10) == 2 and said.startswith(f"config: {field} ") and said.count("\n") == 1, said
 
 
 def test_same_events_same_orders():
