A joiner that may hold withdrawals is booked as told of each line, in or out

Observed: on sockets a proxy keeps what any conductor withdrew (PROTOCOL, eject), so tables.py tells a joiner that is not blank of each line's node whether it is out; bind_joined booked only the nodes that are out. With 28 returning proxies and 32 nodes some 800 lines of a queue of 5,600 went unbooked. At fault: the sum in bind_joined. Rates by kind are a list now, which pays for the field.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -76,7 +76,8 @@
 @dataclass(slots=True)
 class Proxy:
     zone: int
-    rates: dict  # reqs a second by kind
+    held: bool  # orders of others: it may bring withdrawals, and is told of each node whether it is out
+    rates: list  # reqs a second by kind
     sent: deque = field(default_factory=deque)  # when messages went to it
     bound: bool = False  # to its tables
 
@@ -196,7 +197,7 @@
             self.rescore_at = self.now + RESCORE_EVERY - CLOCK_STEP
             for place in (at for at, node in self.pool().items() if node.out and self.may_probe):
                 self.orders.probe(place)
-            come = [(rate, kind) for proxy in self.proxies.values() for kind, rate in proxy.rates.items()]
+            come = [(rate, kind) for proxy in self.proxies.values() for kind, rate in enumerate(proxy.rates)]
             targets = sum(rate * self.kinds[kind].response_target for rate, kind in come)
             self.target = targets / sum(rate for rate, _ in come) if targets else self.target
             self.rescore()
@@ -254,8 +255,7 @@
 
     def take_joined(self, proxy: int, zone: int, usual: float, blank: bool) -> None:
         self.take_left(proxy)
-        kinds = range(len(self.kinds))
-        self.proxies[proxy] = Proxy(zone=zone, rates=dict.fromkeys(kinds, usual / max(1, len(kinds))))
+        self.proxies[proxy] = Proxy(zone, not blank, [usual / len(self.kinds)] * len(self.kinds))
 
     def tables_of(self, zone: int) -> list[Table]:
         """The tables of a zone's proxies: one for each set of nodes open to some kinds."""
@@ -275,9 +275,10 @@
         for table in [one for one in self.tables.values() if joiners and not one.proxies]:
             self.publish(table)
         known = any(node.shut for node in self.nodes)
-        pairs.sort(key=lambda pair: (known and len(pair[1].lines), -sum(joiners[pair[0]].rates.values())))
+        pairs.sort(key=lambda pair: (known and len(pair[1].lines), -sum(joiners[pair[0]].rates)))
         for at, table in pairs:
-            lines = 1 + len(table.lines) + len(table.kinds) + sum(self.nodes[n].shut for n in table.lines)
+            told = (joiners[at].held or self.nodes[node].shut for node in table.lines)
+            lines = 1 + len(table.lines) + len(table.kinds) + sum(told)
             if at not in table.proxies and self.channel.claim({at: joiners[at]}, lines, RETURNS_PART):
                 self.orders.bind(table.place, at, sum(1 << kind for kind in table.kinds))
                 table.proxies[at] = joiners[at]
@@ -299,8 +300,7 @@
 
     def take_came(self, proxy: int, kind: int, count: int, errored: int, over: float) -> None:
         if proxy in self.proxies and kind < len(self.kinds) and over > 0:
-            rates = self.proxies[proxy].rates
-            rates[kind] = (rates[kind] + count / over) / 2
+            self.proxies[proxy].rates[kind] += (count / over - self.proxies[proxy].rates[kind]) / 2
 
     def take_met(self, place: int, zone: int, over: float, took: float, errored: int, tried: int,
                  load: our.Load) -> None:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -98,8 +98,8 @@
             return "listed", True, [entry(word) for word in rest]
         case ["news", *rest]:
             return "listed", False, [entry(word) for word in rest]
-        case ["join", proxy, zone]:
-            return "joined", int(proxy), int(zone[1:]), 10.0, True
+        case ["join", proxy, zone, *held]:
+            return "joined", int(proxy), int(zone[1:]), 10.0, not held
         case ["left", proxy]:
             return "left", int(proxy)
         case ["met", node, "took", took, "err", errored, "of", tried, load, value]:
