A message that can be read and not used is skipped; only unreadable ones end a connection

Observed: one usage report of an unknown kind ended a whole collector's connection, and would have ended a proxy's stream; PROTOCOL keeps a proxy's time limits running where the conductor ends the stream, so this is the dearer way. At fault: codec.arrival raised the same ending for nonsense and for odd figures. Now odd ones are logged and skipped, as unknown fields are; a first message that cannot be used still ends its connection. Pings and reading, which door, sidecar and collector each had, stand once in talk.py.

--- a/oatcart/__main__.py
+++ b/oatcart/__main__.py
@@ -1,13 +1,13 @@
 """One real conductor: reads its configuration, then serves until it is told to end."""
 
+import os
 import signal
-import sys
 
 for _signal in signal.SIGTERM, signal.SIGINT:  # before the other imports: an early end is an orderly one too
-    signal.signal(_signal, lambda *_: sys.exit(0))
+    signal.signal(_signal, lambda *_: os._exit(0))  # at once: nothing here outlives the process
 
 import json
-import os
+import sys
 import time
 import traceback
 from collections.abc import Callable
--- a/oatcart/net/codec.py
+++ b/oatcart/net/codec.py
@@ -53,6 +53,10 @@
     addresses: list[tuple[int, Address]]
 
 
+class Odd(ValueError):
+    """A message that can be read and not used: a kind, a zone or a figure that does not fit."""
+
+
 class Codec:
     """Names on one side, small whole numbers on the other; nodes are numbered as they are met."""
 
@@ -65,9 +69,11 @@
         self.nodes: list[str] = []
 
     def place(self, node: str) -> int:
+        if not isinstance(node, str):
+            raise TypeError(f"{node!r} is no node")
         if node not in self.places:
-            self.places[str(node)] = len(self.nodes)
-            self.nodes.append(str(node))
+            self.places[node] = len(self.nodes)
+            self.nodes.append(node)
         return self.places[node]
 
     def arrival(self, message: dict) -> tuple | None:
@@ -76,7 +82,7 @@
         try:
             return read and read(self, message)
         except (KeyError, TypeError, ValueError, OverflowError) as error:
-            raise Ended(Ending.UNREADABLE, f"{message.get('msg')}: {error!r}") from None
+            raise Odd(f"{message.get('msg')}: {error!r}") from None
 
     def _joined(self, table: dict) -> tuple:
         return ("joined", self._proxy(table), self._zone(table["az"]), _amount(table.get("share", 0.0)),
--- a/oatcart/net/conductor.py
+++ b/oatcart/net/conductor.py
@@ -34,7 +34,6 @@
 
     def start(self, call: Callable, watcher: Watcher, prober: Prober) -> None:
         self.call, self.watcher, self.prober = call, watcher, prober
-        self.probe, self.follow, self.fetch_roll = prober.probe, watcher.follow, watcher.fetch
 
     def arrive(self, arrival: tuple) -> None:
         self.came.append(arrival)
@@ -52,6 +51,15 @@
         self.left(proxy)
         return True
 
+    def probe(self, node: int) -> None:
+        self.prober.probe(node)
+
+    def follow(self, on: bool) -> None:
+        self.watcher.follow(on)
+
+    def fetch_roll(self) -> None:
+        self.watcher.fetch()
+
     def wake(self, after: float) -> None:
         self.loop.at(self.loop.now + after, self._woken)
 
--- a/oatcart/net/door.py
+++ b/oatcart/net/door.py
@@ -4,8 +4,8 @@
 import socket
 from collections.abc import Generator
 
-from oatcart.net import collector, sidecar
-from oatcart.net.codec import COLLECTOR, PING, PONG, Codec, parsed
+from oatcart.net import collector, sidecar, talk
+from oatcart.net.codec import COLLECTOR, Codec, Odd
 from oatcart.net.conductor import Rounds
 from oatcart.net.ending import Ended, Ending, ended_by
 from oatcart.net.log import Log
@@ -21,7 +21,7 @@
     def __init__(self, loop: Loop, log: Log, codec: Codec, rounds: Rounds, descriptors: int) -> None:
         self.loop, self.log, self.codec, self.rounds = loop, log, codec, rounds
         self.most = max(1, descriptors - KEPT_BACK)
-        self.known = 0  # connections of proxies and collectors
+        self.known: set[Stream] = set()  # of proxies and collectors
         self.strangers: dict[Stream, Task] = {}  # oldest first
 
     def listen(self, address: Address) -> socket.socket:
@@ -47,7 +47,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             stream = Stream(self.loop, sock)
             self.strangers[stream] = self.loop.spawn(self._life(stream))
-            while self.known + len(self.strangers) >= self.most:
+            while len(self.known) + len(self.strangers) >= self.most:
                 if self.strangers:  # the one that has said nothing for longest makes room
                     self.log.say("door", f"a stranger gone: {Ended(Ending.CROWDED)}")
                     self.loop.end(next(iter(self.strangers.values())))
@@ -56,35 +56,24 @@
 
     def _life(self, stream: Stream) -> Generator[Wait, bool, None]:
         """The life of a connection, whoever is at its other end."""
-        who, known = "a stranger", 0
+        who = "a stranger"
         try:
-            message = yield from self._greet(stream)
+            told = yield from talk.message(stream, STRANGER_MOST)
             del self.strangers[stream]
-            known = 1
-            self.known += known
-            if message.get("msg") == COLLECTOR:
-                who = f"collector of {message.get('az')}"
-                yield from collector.live(stream, self.codec, self.rounds)
-            elif arrival := self.codec.arrival(message):
-                who = f"proxy {message.get('sidecar')}"
-                yield from sidecar.live(stream, arrival, self.codec, self.rounds)
+            self.known.add(stream)
+            if told.get("msg") == COLLECTOR:
+                who = f"collector of {told.get('az')}"
+                yield from collector.live(stream, self.codec, self.rounds, self.log)
+            elif (arrival := self.codec.arrival(told)) and arrival[0] == "joined":
+                who = f"proxy {arrival[1]}"
+                yield from sidecar.live(stream, arrival, self.codec, self.rounds, self.log)
+            else:
+                raise Odd(f"{told.get('msg')!r} is no first message")
         except Ended as ended:
             self.log.say("door", f"{who} gone: {ended}")
+        except Odd as odd:
+            self.log.say("door", f"{who} gone: {Ended(Ending.UNREADABLE, str(odd))}")
         finally:
-            self.known -= known
+            self.known.discard(stream)
             self.strangers.pop(stream, None)
             stream.close()
-
-    def _greet(self, stream: Stream) -> Generator[Wait, bool, dict]:
-        """The first message that says who is there; pings are answered before it."""
-        until = self.loop.now + STRANGER_MOST
-        while True:
-            message = parsed((yield from stream.line(until)))
-            kind = message.get("msg")
-            if kind == PING:
-                stream.write(PONG)
-                until = self.loop.now + STRANGER_MOST
-            elif kind in (COLLECTOR, "joined"):
-                return message
-            else:
-                raise Ended(Ending.UNREADABLE, f"{kind!r} from a stranger")
--- a/oatcart/net/sidecar.py
+++ b/oatcart/net/sidecar.py
@@ -2,25 +2,26 @@
 
 from collections.abc import Generator
 
-from oatcart.net.codec import PING, PONG, Codec, parsed
+from oatcart.net import talk
+from oatcart.net.codec import Codec
 from oatcart.net.conductor import Rounds
+from oatcart.net.log import Log
 from oatcart.net.loop import Wait
 from oatcart.net.stream import Stream
 
+SPEAKS = ("applied", "came")  # what a proxy tells once it has joined
 
-def live(stream: Stream, joined: tuple, codec: Codec, rounds: Rounds) -> Generator[Wait, bool, None]:
+
+def live(stream: Stream, joined: tuple, codec: Codec, rounds: Rounds, log: Log) -> Generator[Wait, bool, None]:
     """Tell the module what the proxy says for as long as this is the newest of its streams."""
     _, proxy, _, _, blank = joined
     rounds.join(proxy, blank, stream)
     rounds.arrive(joined)
     try:
         while True:
-            message = parsed((yield from stream.line()))
-            if message.get("msg") == PING:
-                stream.write(PONG)
-            elif rounds.streams.get(proxy) is stream and (arrival := codec.arrival(message)) \
-                    and arrival[:2] in (("applied", proxy), ("came", proxy)):
-                rounds.arrive(arrival)
+            told = yield from talk.arrival(stream, codec, log)
+            if rounds.streams.get(proxy) is stream and told[0] in SPEAKS and told[1] == proxy:
+                rounds.arrive(told)
     finally:
         if rounds.leave(proxy, stream):
             rounds.arrive(("left", proxy))
