--- a/oatcart/net/roll.py
+++ b/oatcart/net/roll.py
@@ -9,7 +9,8 @@
 from oatcart.net.loop import Loop, Task, Wait
 from oatcart.net.stream import Address
 
-CALL_MOST = 2.0  # s beyond the wait that a call asks for; from then on its news counts as told
+CALL_MOST = 4.0  # s for a call that doesn't wait: its news counts as told after 6, and a busy discovery needs 2
+WATCH_OVER = 2.0  # s beyond the wait that a call asks for; from then on its news counts as told
 
 
 class Watcher:
@@ -47,7 +48,7 @@
         client, wait = Client(self.loop, self.discovery), 0.0
         try:
             while True:
-                since, until = self.revision, self.loop.now + wait + CALL_MOST
+                since, until = self.revision, self.loop.now + (wait + WATCH_OVER if wait else CALL_MOST)
                 roll = self.codec.roll((yield from client.get(watch_path(since, wait), until)))
                 if not wait or roll.whole or roll.entries:  # a wait that brought nothing is no news
                     self.take(roll, since)
