--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -487,7 +487,7 @@
         if strained > 1.0 and held > (SPARE if full else FULL) and self.now > table.cut_at + CUT_EVERY * self.heard_over:
             table.cut_at = self.now
             table.share = max(SHARE_LEAST, table.share * max(CUT_MOST, 1.0 / strained))
-        elif strained < CALM or held < SPARE:  # whom a cut keeps from nodes that hold little, levels don't help
+        elif strained < CALM or held < SPARE and not full:
             table.share = min(1.0, table.share + GIVE_BACK)
         table.again = table.share >= 1.0 and strained < TRIES_UNDER and errors(pool) > TRIES_OVER + 2 * usual
 
