Errors alone are overload only where no zone is free of them

A zone is cut off; its conductor's proxies meet errors at most nodes and are refused to 0.36, though their own zone answers well. A cut leaves the proxies' own zone free of errors, a drowning pool none. At fault: the median over all nodes in steer's 'full'. Covers also nodes of one zone that answer nobody else, and zones that come back; may hurt where all zones but an idle one drown.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -323,9 +323,8 @@
             node.load = 100.0 * busy if node.load is None else node.load + STEP * (100.0 * busy - node.load)
 
     def take_probed(self, place: int, outcome: int, took: float, load: our.Load) -> None:
-        node = self.node(place)
         if outcome != our.TURNED_AWAY:
-            node.passes = node.passes + 1 if outcome == our.ANSWERED else 0
+            self.node(place).passes = self.node(place).passes + 1 if outcome == our.ANSWERED else 0
 
     def judge(self) -> None:
         """Withdraw on evidence, by comparison with the rest; let back after a wait and good probes."""
@@ -482,9 +481,10 @@
         pool = self.in_use(table)
         strained = strain(pool, self.target)
         usual = median([node.errored / node.tried for node in pool if node.tried >= 1] or [0.0])
-        full = usual > FAILING and strained > PLAIN
+        zones = [[node for node in pool if node.zone == zone] for zone in {node.zone for node in pool}]
+        full = strained > PLAIN and all(errors(nodes, 1.0) > FAILING for nodes in zones)  # no cut network
         held = median([node.load for node in pool if node.load is not None] or [100.0])
-        if strained > 1.0 and held > (SPARE if full else FULL) and self.now > table.cut_at + CUT_EVERY * self.heard_over:
+        if strained > 1.0 and (held > FULL or full) and self.now > table.cut_at + CUT_EVERY * self.heard_over:
             table.cut_at = self.now
             table.share = max(SHARE_LEAST, table.share * max(CUT_MOST, 1.0 / strained))
         elif strained < CALM or held < SPARE and not full:
