Wire names stand in the codec alone; door, proxies and collectors read arrivals

Observed on reading: door and talk looked into messages by the wire's names, which only codec.py should know. The codec now hands out ping and collector as arrivals too; door refuses what is odd from a stranger and skips it later.

--- a/oatcart/net/codec.py
+++ b/oatcart/net/codec.py
@@ -13,7 +13,7 @@
 
 _STATES = {"SERVING": our.READY, "DRAINING": our.DRAINING, "DELETED": our.GONE}
 _UNFIT = (KeyError, TypeError, ValueError, AttributeError, OverflowError)  # raised over what does not fit
-PING, PONG, COLLECTOR = "ping", b'{"msg":"pong"}\n', "collector"
+PING, PONG = ("ping",), b'{"msg":"pong"}\n'
 ROLL_PATH, HEALTH_PATH, LOAD_PATH = "/v1/servers", "/healthz", "/load"
 
 
@@ -78,13 +78,14 @@
             self.nodes.append(node)
         return self.places[node]
 
-    def arrival(self, message: dict) -> tuple | None:
-        """A message as the module is told of it; None for kinds that it has no use for."""
+    def arrival(self, line: memoryview) -> tuple | None:
+        """A message as the module is told of it, PING, or ("collector", its zone); None for unknown kinds."""
+        table = parsed(line)
         try:
-            read = _READERS.get(message.get("msg"))
-            return read and read(self, message)
+            read = _READERS.get(table.get("msg"))
+            return read and read(self, table)
         except _UNFIT as error:
-            raise Odd(f"{message.get('msg')}: {error!r}") from None
+            raise Odd(f"{table.get('msg')}: {error!r}") from None
 
     def _joined(self, table: dict) -> tuple:
         return ("joined", self._proxy(table), self._zone(table["az"]), _amount(table.get("share", 0.0)),
@@ -160,7 +161,14 @@
         return [self.nodes[node] for node in nodes]
 
 
-_READERS = {"joined": Codec._joined, "applied": Codec._applied, "heard": Codec._met, "usage": Codec._came}
+_READERS = {
+    "ping": lambda codec, table: PING,
+    "collector": lambda codec, table: ("collector", str(table.get("az"))),
+    "joined": Codec._joined,
+    "applied": Codec._applied,
+    "heard": Codec._met,
+    "usage": Codec._came,
+}
 
 
 def _amount(value: object) -> float:
--- a/oatcart/net/collector.py
+++ b/oatcart/net/collector.py
@@ -1,19 +1,19 @@
 """A collector's connection: reports of what proxies met, and nothing but pongs is written back."""
 
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 
 from oatcart.net import talk
-from oatcart.net.codec import Codec
+from oatcart.net.codec import Codec, Odd
 from oatcart.net.conductor import Rounds
-from oatcart.net.log import Log
 from oatcart.net.loop import Wait
 from oatcart.net.stream import Stream
 
 REPORTS = ("met", "came")
 
 
-def live(stream: Stream, codec: Codec, rounds: Rounds, log: Log) -> Generator[Wait, bool, None]:
+def live(stream: Stream, codec: Codec, rounds: Rounds,
+         skipped: Callable[[Odd], None]) -> Generator[Wait, bool, None]:
     while True:
-        told = yield from talk.arrival(stream, codec, log)
+        told = yield from talk.arrival(stream, codec, skipped)
         if told[0] in REPORTS:
             rounds.arrive(told)
--- a/oatcart/net/door.py
+++ b/oatcart/net/door.py
@@ -5,7 +5,7 @@
 from collections.abc import Generator
 
 from oatcart.net import collector, sidecar, talk
-from oatcart.net.codec import COLLECTOR, Codec, Odd
+from oatcart.net.codec import Codec, Odd
 from oatcart.net.conductor import Rounds
 from oatcart.net.ending import Ended, Ending, ended_by
 from oatcart.net.log import Log
@@ -60,21 +60,27 @@
         """The life of a connection, whoever is at its other end."""
         who = "a stranger"
         try:
-            told = yield from talk.message(stream, STRANGER_MOST)
-            if told.get("msg") == COLLECTOR:
+            told = yield from talk.arrival(stream, self.codec, self._refuse, STRANGER_MOST)
+            if told[0] == "collector":
                 self.collectors.add(stream)
-                who = f"collector of {told.get('az')}"
-                yield from collector.live(stream, self.codec, self.rounds, self.log)
-            elif (arrival := self.codec.arrival(told)) and arrival[0] == "joined":
-                who = f"proxy {arrival[1]}"
-                yield from sidecar.live(stream, arrival, self.codec, self.rounds, self.log)
+                who = f"collector of {told[1]}"
+                yield from collector.live(stream, self.codec, self.rounds, self._skipped)
+            elif told[0] == "joined":
+                who = f"proxy {told[1]}"
+                yield from sidecar.live(stream, told, self.codec, self.rounds, self._skipped)
             else:
-                raise Odd(f"{told.get('msg')!r} is no first message")
+                self._refuse(Odd(f"{told[0]!r} is no first message"))
         except Ended as ended:
             self.log.say("door", f"{who} gone: {ended}")
-        except Odd as odd:
-            self.log.say("door", f"{who} gone: {Ended(Ending.UNREADABLE, str(odd))}")
         finally:
             self.collectors.discard(stream)
             self.lives.pop(stream, None)
             stream.close()
+
+    def _refuse(self, odd: Odd) -> None:
+        """Who cannot say who it is has no use here."""
+        raise Ended(Ending.UNREADABLE, str(odd))
+
+    def _skipped(self, odd: Odd) -> None:
+        """A stream that we end leaves its proxy without orders until it has dialled again; so it goes on."""
+        self.log.say("odd", str(odd))
