--- a/oatcart/net/door.py
+++ b/oatcart/net/door.py
@@ -14,6 +14,7 @@
 
 STRANGER_MOST = 10.0  # s until a stranger has said who it is; a proxy does so with its first bytes
 KEPT_BACK = 96  # descriptors for discovery, probes, the loop and the log
+BACKLOG = 1024  # connections not yet accepted: a whole fleet may dial at once
 NO_ROOM_WAIT = 0.2  # s without accepting where there is no room; far within a proxy's redial
 
 
@@ -28,7 +29,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
-        sock.listen(1024)
+        sock.listen(BACKLOG)
         self.loop.spawn(self._accept(sock))
         return sock
 
@@ -37,6 +38,7 @@
             yield Wait(listener.fileno(), IN)
             try:
                 sock, _ = listener.accept()
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             except BlockingIOError:
                 continue
             except OSError as error:
@@ -44,7 +46,6 @@
                     self.log.say("door", f"cannot accept: {ended_by(error)}")
                     yield Wait(until=self.loop.now + NO_ROOM_WAIT)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             stream = Stream(self.loop, sock)
             self.lives[stream] = self.loop.spawn(self._life(stream))
             if len(self.lives) >= self.most:
