--- a/oatcart/handover.py
+++ b/oatcart/handover.py
@@ -1,9 +1,8 @@
 """What both hosts are handed in the same form: the settings object and load reports."""
 
-import math
-
 from oatcart import interface as our
 
+AMOUNT_MOST = 1e13  # any unit: over all that is told, Unix time in ms the largest; sums of more would overflow
 _REPEATS = {"idempotent": our.REPLAYABLE, "deduplicated": our.UNIQUED}
 _ADMITS = {"fraction": our.BY_SHARE, "per_second": our.BY_RATE}
 # In the order of our.Load: the settings' names, which reports bear on sockets too, and those of the protocol's page
@@ -62,7 +61,11 @@
 
 
 def is_amount(value: object) -> bool:
-    return isinstance(value, (int, float)) and not isinstance(value, bool) and math.isfinite(value) and value >= 0
+    """
+    >>> [is_amount(value) for value in (0, 2.5, -1, 1e300, float("nan"), True, "7", None)]
+    [True, True, False, False, False, False, False, False]
+    """
+    return isinstance(value, (int, float)) and not isinstance(value, bool) and 0 <= value <= AMOUNT_MOST
 
 
 def load(report: object) -> our.Load:
