Without a list proxies keep what they hold, and nodes only heard of are not shut out

Observed by hand on sockets: a conductor with an empty list and no discovery bound its first proxy to an empty table, and would have shut out each node that a report named. At fault: bind_joined and turn_nodes. Now both wait for the list to have spoken of a node; what it lists as draining or gone is told as before. Covers a restart beside a silent discovery, and nodes younger than the list in hand.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -50,7 +50,7 @@
 class Node:  # all that is known of it
     zone: int = 0
     state: int = our.GONE
-    turned_at: float = LONG_AGO  # when the list last said ready, or no longer so (a drain that ends waits on)
+    turned_at: float = LONG_AGO  # when the list last said ready, or no longer so, if it ever spoke of it
     started: float = 0.0  # 0: long ago
     nominal: float = 1.0
     eased_at: float = LONG_AGO  # when its ramp began
@@ -157,8 +157,7 @@
         return lines
 
     def turn(self, now: float) -> None:
-        self.queued = max(0.0, self.queued - (now - self.at) * self.limits.line_rate)
-        self.at = now
+        self.queued, self.at = max(0.0, self.queued - (now - self.at) * self.limits.line_rate), now
 
 
 class Conductor:
@@ -213,8 +212,7 @@
 
     def ask_roll(self) -> None:
         """Follow the roll, asking again with growing waits; now and then fetch it whole."""
-        due = self.roll.must_ask and (not self.following or self.now >= self.fetch_at)
-        if due and self.now >= self.ask_at:
+        if self.roll.must_ask and self.now >= max(self.ask_at, self.fetch_at if self.following else LONG_AGO):
             self.ask_at, self.fetch_at = self.now + ASK_MOST, self.now + FETCH_EVERY
             self.orders.fetch_roll() if self.following else self.orders.follow(True)
 
@@ -231,7 +229,8 @@
         gone = [(at, node.zone, 0.0, our.GONE, 0.0) for at, node in enumerate(self.nodes) if at not in told]
         for place, zone, started, state, nominal in [*gone, *entries]:
             node = self.node(place)
-            node.turned_at = node.turned_at if (state == our.READY) == (node.state == our.READY) else self.now
+            if (state == our.READY) != (node.state == our.READY) or node.turned_at == LONG_AGO:
+                node.turned_at = self.now
             node.zone, node.state, node.nominal = zone, state, nominal if nominal > 0 else 1.0
             if started > node.started:
                 node.started = started
@@ -270,7 +269,8 @@
     def bind_joined(self) -> None:
         """Bind joiners as there is room: whole tables to all at once overran the queue. The shortest tables
         go first, as who is bound knows what is withdrawn: some learned of drains after the grace."""
-        joiners = {number: proxy for number, proxy in self.proxies.items() if not proxy.bound}
+        listed = any(node.turned_at > LONG_AGO for node in self.nodes)  # else their own tables are better
+        joiners = {number: proxy for number, proxy in self.proxies.items() if listed and not proxy.bound}
         pairs = [(number, table) for number, proxy in joiners.items() for table in self.tables_of(proxy.zone)]
         for table in [one for one in self.tables.values() if joiners and not one.proxies]:
             self.publish(table)
@@ -306,8 +306,7 @@
                  load: our.Load) -> None:
         node = self.node(place)
         self.heard_over += HEARD_STEP * (max(over, self.period) - self.heard_over)
-        good = max(0, tried - errored)
-        node.tried, node.errored = node.tried + tried, node.errored + errored
+        node.tried, node.errored, good = node.tried + tried, node.errored + errored, max(0, tried - errored)
         if good and took >= 0:
             self.answers += good
             node.good += good
@@ -367,9 +366,9 @@
         node.out, node.out_at, node.passes = True, self.now, 0
 
     def turn_nodes(self, out: bool) -> None:
-        """Keep drained, gone and withdrawn nodes out of all tables that proxies hold, standing ones too."""
+        """Keep drained, gone, withdrawn nodes out of all tables that proxies hold, but none only heard of."""
         due = {place: node for place, node in enumerate(self.nodes)
-               if (node.out or node.state != our.READY) == out != node.shut}
+               if (node.out or node.state != our.READY) == out != node.shut and node.turned_at > LONG_AGO}
         for one in self.tables.values() if not out else ():  # none is let in on a line of its former life
             due = {at: node for at, node in due.items() if one.lines.get(at, 0) <= one.pending.get(at, inf)}
         told = min([node.turned_at for node in due.values() if node.state != our.READY], default=self.now)
