A restarted node owes no answers by the share of its former life

Checked in a trace of withdrawals: no probe fails and the nodes err little; their share of the answers was learned warm, when near lines count 20 times, and a cold node's line gets a fraction of that. At fault: forget keeps node.share, and silent counts missed answers by it. Now a restart sets the share to 0; it is learned anew. A node back from a withdrawal keeps it, so a hang that passes probes still shows. May hurt where a process restarts and never answers: then only errors tell.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -233,7 +233,7 @@
                 node.turned_at = self.now
             node.zone, node.state, node.nominal = zone, state, nominal if nominal > 0 else 1.0
             if started > node.started:
-                node.started = started
+                node.started, node.share = started, 0.0  # cold it gets less, so owes less
                 self.forget(node, started)
 
     def node(self, place: int) -> Node:
