A join where no request kinds are set no longer divides by zero

Observed on reading the change: folding the rates into a list lost the guard for settings without request kinds.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -50,7 +50,7 @@
 class Node:  # all that is known of it
     zone: int = 0
     state: int = our.GONE
-    turned_at: float = LONG_AGO  # when the list last said ready, or no longer so, if it ever spoke of it
+    turned_at: float = LONG_AGO  # when the list last said ready or not so (a drain that ends waits on), if ever
     started: float = 0.0  # 0: long ago
     nominal: float = 1.0
     eased_at: float = LONG_AGO  # when its ramp began
@@ -254,7 +254,7 @@
 
     def take_joined(self, proxy: int, zone: int, usual: float, blank: bool) -> None:
         self.take_left(proxy)
-        self.proxies[proxy] = Proxy(zone, not blank, [usual / len(self.kinds)] * len(self.kinds))
+        self.proxies[proxy] = Proxy(zone, not blank, [usual / max(1, len(self.kinds))] * len(self.kinds))
 
     def tables_of(self, zone: int) -> list[Table]:
         """The tables of a zone's proxies: one for each set of nodes open to some kinds."""
