--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -50,7 +50,7 @@
 class Node:  # all that is known of it
     zone: int = 0
     state: int = our.GONE
-    turned_at: float = LONG_AGO  # when the list last said ready or not so (a drain that ends waits on), if ever
+    turned_at: float = LONG_AGO  # when the list last said ready or not (a drain that ends waits on), if ever
     started: float = 0.0  # 0: long ago
     nominal: float = 1.0
     eased_at: float = LONG_AGO  # when its ramp began
