Tidying of the net code: dead state, a wrapped look-up and doubled clean-up go

Read again as one change: Stream.flushing was written and never read, and open is what the socket's own descriptor tells; dial closed in two places; Codec.roll took a message in two forms, now callers parse as probe does; _zone wrapped a look-up; the configuration's path and the address to listen on took detours through read.

--- a/oatcart/__main__.py
+++ b/oatcart/__main__.py
@@ -10,7 +10,7 @@
 import sys
 import time
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from oatcart.handover import seconds, start_records
 from oatcart.net import codec as wire
@@ -31,16 +31,16 @@
     """A field of the configuration that is missing or cannot be used."""
 
 
-def read(cfg: dict, name: str, turn: Callable) -> object:
+def read(cfg: Mapping, name: str, turn: Callable) -> object:
     try:
         return turn(cfg[name])
     except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError, Ended, OSError) as error:
         raise Unusable(f"{name} cannot be used: {error!r}") from None
 
 
-def configured() -> dict:
-    with open(os.environ["EDGE_CONFIG"], encoding="utf-8") as file:
-        return json.load(file)
+def configuration(path: str) -> dict:
+    with open(path, encoding="utf-8") as file:
+        return dict(json.load(file))
 
 
 def assemble(cfg: dict) -> tuple[Loop, Rounds]:
@@ -60,11 +60,10 @@
     seed = read(cfg, "seed", lambda text: int(text, 16))
     rounds.start(Conductor(seed=seed, **records).round, watcher, prober)
     door = Door(loop, log, codec, rounds, read(cfg, "limits", lambda limits: int(limits["sockets"])))
-    address = read(cfg, "listen", wire.address)
     if "known" in cfg:
         watcher.take(read(cfg, "known", codec.roll))
     rounds.turn()  # from here on it can decide, so whoever asks may be answered
-    listener = read({"listen": address}, "listen", door.listen)
+    listener = read(cfg, "listen", lambda address: door.listen(wire.address(address)))
     log.say("start", "{} listens at {}:{}, {} nodes known".format(
         cfg.get("name"), *listener.getsockname(), len(codec.nodes)))
     return loop, rounds
@@ -72,8 +71,7 @@
 
 def main() -> int:
     try:
-        cfg = read({"EDGE_CONFIG": None}, "EDGE_CONFIG", lambda _: dict(configured()))
-        loop, rounds = assemble(cfg)
+        loop, rounds = assemble(read(os.environ, "EDGE_CONFIG", configuration))
     except Unusable as error:
         print(f"config: {error}", file=sys.stderr)
         return UNUSABLE
--- a/oatcart/net/codec.py
+++ b/oatcart/net/codec.py
@@ -88,7 +88,7 @@
             raise Odd(f"{table.get('msg')}: {error!r}") from None
 
     def _joined(self, table: dict) -> tuple:
-        return ("joined", self._proxy(table), self._zone(table["az"]), _amount(table.get("share", 0.0)),
+        return ("joined", self._proxy(table), self.zones[table["az"]], _amount(table.get("share", 0.0)),
                 bool(table.get("standing")))
 
     def _applied(self, table: dict) -> tuple:
@@ -97,7 +97,7 @@
 
     def _met(self, table: dict) -> tuple:
         tried = _count(table["n"])
-        return ("met", self.place(table["host"]), self._zone(table["az"]), _amount(table["window"]) / 1000,
+        return ("met", self.place(table["host"]), self.zones[table["az"]], _amount(table["window"]) / 1000,
                 _amount(table.get("avg") or 0.0) / 1000, min(tried, _count(table.get("bad", 0))), tried,
                 load(table.get("report")))
 
@@ -111,19 +111,15 @@
             raise ValueError(f"sidecar {proxy} of {self.proxies}")
         return proxy
 
-    def _zone(self, name: str) -> int:
-        return self.zones[name]
-
-    def roll(self, message: memoryview | dict) -> Roll:
+    def roll(self, table: dict) -> Roll:
         """A list of nodes, whole or changed entries only; an entry that cannot be used is left out."""
-        table = message if isinstance(message, dict) else parsed(message)
         if not is_amount(table.get("revision")) or not isinstance(table.get("members"), list):
             raise Ended(Ending.UNREADABLE, "no list of nodes")
         roll = Roll(int(table["revision"]), bool(table.get("complete")), [], [], [])
         for one in table["members"]:
             try:
                 place = self.place(one["id"])
-                entry = (place, self._zone(one["locality"]), _amount(one.get("up_since_ms") or 0) / 1000,
+                entry = (place, self.zones[one["locality"]], _amount(one.get("up_since_ms") or 0) / 1000,
                          _STATES[one["phase"]], _amount(one.get("size") or 1.0))
                 if one.get("host_port"):
                     roll.addresses.append((place, address(one["host_port"])))
--- a/oatcart/net/roll.py
+++ b/oatcart/net/roll.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Generator
 
-from oatcart.net.codec import ROLL_PATH, Codec, Roll, watch_path
+from oatcart.net.codec import ROLL_PATH, Codec, Roll, parsed, watch_path
 from oatcart.net.ending import Ended
 from oatcart.net.http import Client
 from oatcart.net.log import Log
@@ -51,7 +51,7 @@
         try:
             while True:
                 since, until = self.revision, self.loop.now + (wait + WATCH_OVER if wait else CALL_MOST)
-                roll = self.codec.roll((yield from client.get(watch_path(since, wait), until)))
+                roll = self.codec.roll(parsed((yield from client.get(watch_path(since, wait), until))))
                 if not wait or roll.whole or roll.entries:  # a wait that brought nothing is no news
                     self.take(roll, since)
                 wait = self.wait
@@ -64,7 +64,7 @@
     def _fetch(self) -> Generator[Wait, bool, None]:
         client = Client(self.loop, self.discovery)
         try:
-            self.take(self.codec.roll((yield from client.get(ROLL_PATH, self.loop.now + CALL_MOST))))
+            self.take(self.codec.roll(parsed((yield from client.get(ROLL_PATH, self.loop.now + CALL_MOST)))))
         except Ended as ended:
             self._failed("fetch", ended)
         finally:
--- a/oatcart/net/stream.py
+++ b/oatcart/net/stream.py
@@ -25,8 +25,6 @@
         self.view = memoryview(bytearray(BUFFER_FIRST))
         self.start = self.seen = self.end = 0  # bytes handed out, searched and read
         self.unsent = bytearray()
-        self.flushing = None
-        self.open = True
 
     def line(self, until: float = inf) -> Generator[Wait, bool, memoryview]:
         """The next line without its end."""
@@ -86,7 +84,7 @@
             sent = self._send(data)
             if sent < len(data):
                 self.unsent += memoryview(data)[sent:]
-                self.flushing = self.loop.spawn(self._flush())
+                self.loop.spawn(self._flush())
         if len(self.unsent) > UNSENT_MOST:  # a message left out would spoil all later ones, so it is the end
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)  # the reader learns of it as of any other end
@@ -107,11 +105,9 @@
                 del self.unsent[:self._send(self.unsent)]
             except Ended:  # the reader of this connection learns of it too
                 self.unsent.clear()
-        self.flushing = None
 
     def close(self) -> None:
-        if self.open:
-            self.open = False
+        if self.sock.fileno() >= 0:  # else the descriptor may be another's by now
             self.loop.close(self.fd)
             self.sock.close()
 
@@ -125,17 +121,15 @@
     stream = Stream(loop, sock)
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.connect(address)
-    except BlockingIOError:
-        pass
+        with suppress(BlockingIOError):
+            sock.connect(address)
+        if not (yield Wait(stream.fd, OUT, until)):
+            raise Ended(Ending.UNREACHED)
+        if code := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            raise OSError(code, "")
     except OSError as error:
         stream.close()
         raise ended_by(error) from None
-    try:
-        if not (yield Wait(stream.fd, OUT, until)):
-            raise Ended(Ending.UNREACHED)
-        if error := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            raise ended_by(OSError(error, ""))
     except BaseException:
         stream.close()
         raise
