A fetch that fails at once is made again; health probes are not read as load reports

Observed on reading the change: where a call to discovery fails before its first wait (no descriptor, no route), Watcher.fetch stored the finished task over the None that its end had set, so no fetch was ever made again; and where the deployment has no load reports, an answer of 200 whose body is not JSON ended a probe as errored, so a withdrawn node could never come back. At fault: Watcher.fetching held a task where a flag set by the fetch itself does; Prober read every body.

--- a/oatcart/__main__.py
+++ b/oatcart/__main__.py
@@ -55,8 +55,8 @@
     allowed, reports = settings.get("policyLimits") or {}, settings.get("report") or {}
     watcher = Watcher(loop, codec, log, read(cfg, "discovery", wire.address),
                       WATCH_PART * seconds(settings.get("rules") or {}, "askWithin", 10.0), rounds.arrive)
-    prober = Prober(loop, wire.HEALTH_PATH if reports.get("how", "off") == "off" else wire.LOAD_PATH,
-                    seconds(allowed, "connectTimeout", 0.25), watcher.addresses, rounds.arrive)
+    prober = Prober(loop, reports.get("how", "off") != "off", seconds(allowed, "connectTimeout", 0.25),
+                    watcher.addresses, rounds.arrive)
     seed = read(cfg, "seed", lambda text: int(text, 16))
     rounds.start(Conductor(seed=seed, **records).round, watcher, prober)
     door = Door(loop, log, codec, rounds, read(cfg, "limits", lambda limits: int(limits["sockets"])))
--- a/oatcart/net/probe.py
+++ b/oatcart/net/probe.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Generator
 
 from oatcart.handover import load
-from oatcart.net.codec import parsed
+from oatcart.net.codec import HEALTH_PATH, LOAD_PATH, parsed
 from oatcart.net.ending import PROBE_OUTCOMES, Ended, Ending
 from oatcart.net.http import Client
 from oatcart.net.loop import Loop, Wait
@@ -13,9 +13,9 @@
 
 
 class Prober:
-    def __init__(self, loop: Loop, path: str, within: float, addresses: dict[int, Address],
+    def __init__(self, loop: Loop, reports: bool, within: float, addresses: dict[int, Address],
                  arrive: Callable[[tuple], None]) -> None:
-        self.loop, self.path, self.within = loop, path, within
+        self.loop, self.reports, self.within = loop, reports, within
         self.addresses, self.arrive = addresses, arrive
         self.under_way = 0
 
@@ -31,10 +31,10 @@
                 raise Ended(Ending.CROWDED)
             client = Client(self.loop, self.addresses[node])
             try:
-                body = yield from client.get(self.path, began + self.within)
+                body = yield from client.get(LOAD_PATH if self.reports else HEALTH_PATH, began + self.within)
             finally:
                 client.close()
-            told = load(parsed(body)) if body else told
+            told = load(parsed(body)) if self.reports and body else told
         except Ended as ended:
             ending = ended.ending
         finally:
--- a/oatcart/net/roll.py
+++ b/oatcart/net/roll.py
@@ -21,7 +21,7 @@
         self.revision = 0
         self.addresses: dict[int, Address] = {}
         self.watching: Task | None = None
-        self.fetching: Task | None = None
+        self.fetching = False
 
     def take(self, roll: Roll, since: int = 0) -> None:
         """What came late says nothing new; older than what was asked for, discovery has started over."""
@@ -42,8 +42,8 @@
             self.watching = self.loop.spawn(self._watch())
 
     def fetch(self) -> None:
-        if self.fetching is None:
-            self.fetching = self.loop.spawn(self._fetch())
+        if not self.fetching:
+            self.loop.spawn(self._fetch())
 
     def _watch(self) -> Generator[Wait, bool, None]:
         """The life of a watch: the first answer at once, then each as it comes, until a call fails."""
@@ -62,13 +62,13 @@
             client.close()
 
     def _fetch(self) -> Generator[Wait, bool, None]:
-        client = Client(self.loop, self.discovery)
+        client, self.fetching = Client(self.loop, self.discovery), True
         try:
             self.take(self.codec.roll(parsed((yield from client.get(ROLL_PATH, self.loop.now + CALL_MOST)))))
         except Ended as ended:
             self._failed("fetch", ended)
         finally:
-            self.fetching = None
+            self.fetching = False
             client.close()
 
     def _failed(self, what: str, ended: Ended) -> None:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -45,7 +45,7 @@
         self.codec = wire.Codec(["lookup", "order"], ["a", "b"], 64)
         self.rounds = Rounds(self.loop, log, self.codec, cfg.get("gap", 0), 1000.0)
         watcher = Watcher(self.loop, self.codec, log, desk, 5.0, self.rounds.arrive)
-        prober = Prober(self.loop, wire.LOAD_PATH, 0.25, watcher.addresses, self.rounds.arrive)
+        prober = Prober(self.loop, bool(cfg.get("reports", 1)), 0.25, watcher.addresses, self.rounds.arrive)
         self.rounds.start(self.round, watcher, prober)
         self.door = Door(self.loop, log, self.codec, self.rounds, int(KEPT_BACK + cfg.get("room", 100)))
         self.listener = self.door.listen(("127.0.0.1", 0))
@@ -185,7 +185,7 @@
             found = self.until(self.call, line)
             assert found == f"GET {name} HTTP/1.1", f"{line}: {found}"
         elif do == "answer":
-            body = json.dumps(self.listed(fields(rest))).encode() if rest else b""
+            body = json.dumps(self.listed(fields(rest))).encode() if "=" in "".join(rest) else " ".join(rest).encode()
             self.calls[-1].sendall(b"HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n" % (name.encode(), len(body)) + body)
         elif do == "babble":
             self.calls[-1].sendall(b"what?\r\n\r\n")
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -223,6 +223,22 @@
         one.close()
 
 
+def test_a_call_that_fails_at_once_is_made_again(monkeypatch):
+    """Failure: a fetch for which there was no descriptor counted as under way for ever."""
+    one = stage.Stage({})
+
+    def full(*_):
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(socket, "socket", full)
+        for line in ("order fetch_roll", "told unlisted") * 2:
+            one.play(line)
+    for line in ("order fetch_roll", "asked /v1/servers"):
+        one.play(line)
+    one.close()
+
+
 CONFIG = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f", "peers": [],
           "limits": {"sockets": 256}, "known": {"revision": 1, "complete": True, "members": []},
           "settings": {"grades": [{"name": "lookup"}], "zones": ["a"], "specifics": {"proxyCount": 4}, "quantum": 2.0,
