SIGHUP takes in a new configuration: discovery moves, list and streams stay

Checked: no handler for SIGHUP in __main__.py, so Python's default ended the process; nothing else in the log before it, so it is not a fault of the list or of the streams. Nothing in roll.py could change the address of discovery.

Now the handler does nothing and the signal's byte wakes the loop (net/reload.py); one task reads the file again and hands on what may change: discovery's address and the number of descriptors. The watch and a fetch under way are asked anew at the new address, the first answer there is its whole list, whatever its revision. What only a restart changes is named in the log. Should also hold against a discovery that moves and starts over with lower revisions, several signals at once, and the same address named again.

--- a/oatcart/__main__.py
+++ b/oatcart/__main__.py
@@ -5,8 +5,10 @@
 
 for _signal in signal.SIGTERM, signal.SIGINT:  # before the other imports: an early end is an orderly one too
     signal.signal(_signal, lambda *_: os._exit(0))  # at once: nothing here outlives the process
+signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the configuration is read there is nothing to read again
 
 import json
+import socket
 import sys
 import time
 import traceback
@@ -20,17 +22,15 @@
 from oatcart.net.log import Log
 from oatcart.net.loop import Loop
 from oatcart.net.probe import Prober
+from oatcart.net.reload import Unusable, reloads, wake_pair
 from oatcart.net.roll import Watcher
 from oatcart.policy import Conductor
 
 UNUSABLE = 2  # exit code where the configuration cannot be used
+AT_START = "name", "listen", "settings"  # what is taken from the configuration once
 WATCH_PART = 0.5  # of the time without a call after which news counts as told: a lost watch shows well within it
 
 
-class Unusable(Exception):
-    """A field of the configuration that is missing or cannot be used."""
-
-
 def read(cfg: Mapping, name: str, turn: Callable) -> object:
     try:
         return turn(cfg[name])
@@ -43,7 +43,11 @@
         return dict(json.load(file))
 
 
-def assemble(cfg: dict) -> tuple[Loop, Rounds]:
+def descriptors(limits: Mapping) -> int:
+    return int(limits["sockets"])
+
+
+def assemble(cfg: dict, woken: socket.socket) -> tuple[Loop, Rounds]:
     """All parts, each with its own few settings; the module has had its first round when this returns."""
     settings = read(cfg, "settings", dict)
     records = read(cfg, "settings", start_records)
@@ -59,19 +63,32 @@
                     watcher.addresses, rounds.arrive)
     seed = read(cfg, "seed", lambda text: int(text, 16))
     rounds.start(Conductor(seed=seed, **records).round, watcher, prober)
-    door = Door(loop, log, codec, rounds, read(cfg, "limits", lambda limits: int(limits["sockets"])))
+    door = Door(loop, log, codec, rounds, read(cfg, "limits", descriptors))
     if "known" in cfg:
         watcher.take(read(cfg, "known", codec.roll))
     rounds.turn()  # from here on it can decide, so whoever asks may be answered
     listener = read(cfg, "listen", lambda address: door.listen(wire.address(address)))
     log.say("start", "{} listens at {}:{}, {} nodes known".format(
         cfg.get("name"), *listener.getsockname(), len(codec.nodes)))
+
+    def take() -> str:
+        """What a running conductor takes from a new configuration; nothing of it unless all can be used."""
+        new = read(os.environ, "EDGE_CONFIG", configuration)
+        discovery, most = read(new, "discovery", wire.address), read(new, "limits", descriptors)
+        door.limit(most)
+        watcher.move(discovery)
+        kept = [name for name in AT_START if new.get(name) != cfg.get(name)]
+        return "discovery at {}:{}, {} descriptors{}".format(
+            *discovery, most, f"; only a restart changes {', '.join(kept)}" if kept else "")
+
+    loop.spawn(reloads(loop, log, woken, take))
     return loop, rounds
 
 
 def main() -> int:
+    woken = wake_pair()
     try:
-        loop, rounds = assemble(read(os.environ, "EDGE_CONFIG", configuration))
+        loop, rounds = assemble(read(os.environ, "EDGE_CONFIG", configuration), woken)
     except Unusable as error:
         print(f"config: {error}", file=sys.stderr)
         return UNUSABLE
--- a/oatcart/net/door.py
+++ b/oatcart/net/door.py
@@ -21,10 +21,13 @@
 class Door:
     def __init__(self, loop: Loop, log: Log, codec: Codec, rounds: Rounds, descriptors: int) -> None:
         self.loop, self.log, self.codec, self.rounds = loop, log, codec, rounds
-        self.most = max(1, descriptors - KEPT_BACK)
+        self.limit(descriptors)
         self.lives: dict[Stream, Task] = {}  # of all connections, oldest first
         self.collectors: set[Stream] = set()
 
+    def limit(self, descriptors: int) -> None:
+        self.most = max(1, descriptors - KEPT_BACK)
+
     def listen(self, address: Address) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/oatcart/net/roll.py
+++ b/oatcart/net/roll.py
@@ -1,6 +1,7 @@
 """The roll: the list of nodes, watched and fetched at discovery."""
 
 from collections.abc import Callable, Generator
+from math import inf
 
 from oatcart.net.codec import ROLL_PATH, Codec, Roll, parsed, watch_path
 from oatcart.net.ending import Ended
@@ -19,11 +20,23 @@
         self.loop, self.codec, self.log, self.discovery = loop, codec, log, discovery
         self.wait, self.arrive = wait, arrive
         self.revision = 0
+        self.moved = False  # to an address that has not answered yet: its revisions may be others
         self.addresses: dict[int, Address] = {}
         self.watching: Task | None = None
         self.fetching = False
 
-    def take(self, roll: Roll, since: int = 0) -> None:
+    def move(self, discovery: Address) -> None:
+        """From now on all is asked at another address; what is under way at the old one, which may be closed or
+        answer with what is out of date, is asked anew. Streams, tables and the list stay as they are."""
+        if discovery == self.discovery:
+            return
+        self.discovery, self.moved = discovery, True
+        if self.fetching:
+            self.loop.end(self.fetcher)
+        if self.watching is not None:  # else the module asks in its time
+            self.follow(True)
+
+    def take(self, roll: Roll, since: float = 0) -> None:
         """What came late says nothing new; older than what was asked for, discovery has started over."""
         self.addresses |= roll.addresses
         for odd in roll.odd:
@@ -43,15 +56,18 @@
 
     def fetch(self) -> None:
         if not self.fetching:
-            self.loop.spawn(self._fetch())
+            self.fetcher = self.loop.spawn(self._fetch())
 
     def _watch(self) -> Generator[Wait, bool, None]:
-        """The life of a watch: the first answer at once, then each as it comes, until a call fails."""
+        """The life of a watch: the first answer at once, then each as it comes, until a call fails. The first
+        answer of another address is its whole list, whatever its revision."""
         client, wait = Client(self.loop, self.discovery), 0.0
         try:
             while True:
                 since, until = self.revision, self.loop.now + (wait + WATCH_OVER if wait else CALL_MOST)
-                roll = self.codec.roll(parsed((yield from client.get(watch_path(since, wait), until))))
+                path, since = (ROLL_PATH, inf) if self.moved else (watch_path(since, wait), since)
+                roll = self.codec.roll(parsed((yield from client.get(path, until))))
+                self.moved = False
                 if not wait or roll.whole or roll.entries:  # a wait that brought nothing is no news
                     self.take(roll, since)
                 wait = self.wait
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -14,6 +14,7 @@
 from oatcart.net.log import Log
 from oatcart.net.loop import Loop
 from oatcart.net.probe import Prober
+from oatcart.net.reload import Unusable, reloads
 from oatcart.net.roll import Watcher
 
 TURNS, TURN = 400, 0.005  # turns of the loop until something must have come, s each; a met want ends them
@@ -36,8 +37,7 @@
     def __init__(self, cfg):
         self.now, self.said, self.ordered, self.failing = 100.0, [], [], False
         self.out, self.ends, self.read = io.StringIO(), {}, {}
-        self.desk = socket.create_server(("127.0.0.1", 0))  # discovery and all nodes in one
-        self.desk.setblocking(False)
+        self.open_desk()
         self.calls = []
         desk = self.desk.getsockname()
         self.loop = Loop(lambda: self.now, self.failed)
@@ -50,6 +50,22 @@
         self.door = Door(self.loop, log, self.codec, self.rounds, int(KEPT_BACK + cfg.get("room", 100)))
         self.listener = self.door.listen(("127.0.0.1", 0))
 
+        self.woken, self.waker = socket.socketpair()
+        self.woken.setblocking(False)
+        self.discovery, self.closed = self.desk.getsockname(), []
+        self.loop.spawn(reloads(self.loop, log, self.woken, self.reload))
+
+    def open_desk(self):
+        self.desk = socket.create_server(("127.0.0.1", 0))  # discovery and all nodes in one
+        self.desk.setblocking(False)
+
+    def reload(self):
+        """What a new configuration brings here: an address of discovery, or none that can be used."""
+        if self.discovery is None:
+            raise Unusable("discovery cannot be used")
+        self.rounds.watcher.move(self.discovery)
+        return "taken in"
+
     def failed(self, error):
         raise error
 
@@ -82,7 +98,8 @@
     def close(self):
         for task in set(self.loop.waiting.values()):
             self.loop.end(task)
-        for sock in (*self.ends.values(), *self.calls, self.desk, self.listener, self.loop.poll):
+        for sock in (*self.ends.values(), *self.calls, *self.closed, self.desk, self.listener, self.woken, self.waker,
+                     self.loop.poll):
             sock.close()
 
     def line_from(self, name):
@@ -181,6 +198,14 @@
             self.failing = bool(int(name))
         elif do == "roll":
             self.rounds.watcher.take(self.codec.roll(self.listed(fields(words[1:]))))
+        elif do == "moved":
+            self.closed.append(self.desk)
+            self.open_desk()
+            self.discovery = self.desk.getsockname()
+        elif do == "spoilt":
+            self.discovery = None
+        elif do == "hup":
+            self.waker.send(b"\x01")
         elif do == "asked":
             found = self.until(self.call, line)
             assert found == f"GET {name} HTTP/1.1", f"{line}: {found}"
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -259,6 +259,22 @@
         assert one.wait(10) == 0
 
 
+def test_sighup_reads_the_configuration_again(tmp_path):
+    """Failure: SIGHUP ended the process. What cannot be used, or not be changed, is said; it goes on either way."""
+    with start(tmp_path) as one:
+        assert "start: n0 listens" in one.stderr.readline()
+        for text, said in (json.dumps(CONFIG | {"discovery": "127.0.0.1:2", "listen": "127.0.0.1:1"}),
+                           "discovery at 127.0.0.1:2, 256 descriptors; only a restart changes listen"), \
+                          ('{"discovery": ', "EDGE_CONFIG cannot be used"):
+            (tmp_path / "cfg").write_text(text)
+            one.send_signal(signal.SIGHUP)
+            while not (line := one.stderr.readline()).startswith("reload: "):
+                assert line
+            assert said in line
+        one.send_signal(signal.SIGTERM)
+        assert one.wait(10) == 0
+
+
 @pytest.mark.parametrize("field, value", [
     ("listen", None), ("listen", "nowhere"), ("listen", "192.0.2.1:5000"), ("seed", "?"), ("discovery", "a:b"),
     ("settings", 3), ("settings", {"grades": 1}), ("known", {}), ("limits", {})])
