Spoilt messages stop at the codec, strangers have one deadline and a small buffer

Checked in the logs: pings renewed a stranger's 10 s (talk.arrival took `most` from now, line by line); `collector of nowhere` was taken; unknown kinds and orders were passed over. The resets fall on the whole list fetched every 20 s, right after `heard` named s-zz: _met gave it a number, the whole list lacked it, the module withdrew it, and the proxies reset a stream that names a node nobody listed. Ruled out: a spoilt list (none was logged), proxies that ended by themselves (all 82 within a round).

Changed: codec checks each field of each message (type, whole numbers, bounds, names that exist) and gives numbers to listed nodes alone; a missing `avg` no longer counts as an answer in no time; an entry of a list that can't be used leaves nobody else out. A mark counts as an ack only if its stream was asked for it. A stranger has 1.5 s from its accept and 1 KiB, whatever it says; what is read already is looked at before anybody makes way; 64 accepts a turn. A replaced stream, and a zone's third collector, end at once. 16 descriptors kept back in place of 96, probes use what is left. Read buffers 4 KiB in place of 16. Also holds against reports of nodes before they are listed, which are skipped until they are.

--- a/oatcart/handover.py
+++ b/oatcart/handover.py
@@ -3,6 +3,7 @@
 from oatcart import interface as our
 
 AMOUNT_MOST = 1e13  # any unit: over all that is told, Unix time in ms the largest; sums of more would overflow
+LOAD_MOST = 1e6  # reqs held or waiting, cores in use: more than any node has; one such figure would stand for long
 _REPEATS = {"idempotent": our.REPLAYABLE, "deduplicated": our.UNIQUED}
 _ADMITS = {"fraction": our.BY_SHARE, "per_second": our.BY_RATE}
 # In the order of our.Load: the settings' names, which reports bear on sockets too, and those of the protocol's page
@@ -69,12 +70,12 @@
 
 
 def load(report: object) -> our.Load:
-    """A load report by our names; what is missing, negative or no number is not told.
+    """A load report by our names; what is missing, negative, no number or no load is not told.
 
     >>> load({"concurrent": 7, "util": -1, "other": 2}), load({"queue": float("nan")}), load(None)
     ((7, None, None), (None, None, None), (None, None, None))
     """
     told = report if isinstance(report, dict) else {}
-    held, busy, waiting = (next((told[name] for name in names if is_amount(told.get(name))), None)
-                           for names in _LOADS)
+    held, busy, waiting = (next((value for name in names if is_amount(value := told.get(name))
+                                 and value <= LOAD_MOST), None) for names in _LOADS)
     return held, busy, waiting
--- a/oatcart/interface.py
+++ b/oatcart/interface.py
@@ -25,6 +25,7 @@
 REPLAYABLE, UNIQUED, NON_REPLAYABLE = range(3)  # may a req run again
 NO_TRY, AFTER_PROOF, AFTER_ANY, TWO_AFTER_ANY = range(4)  # ways of trying another node
 BY_SHARE, BY_RATE, NOT_AT_ALL = "share", "rate", "none"  # ways of admitting
+MARKS = 0x10000  # marks run from 0 up to here and round again
 ALL_TABLES = 0xFFFF  # in `admit`: every table, every joined proxy
 
 Load = tuple[float | None, float | None, float | None]
--- a/oatcart/net/codec.py
+++ b/oatcart/net/codec.py
@@ -6,7 +6,7 @@
 import orjson
 
 from oatcart import interface as our
-from oatcart.handover import is_amount, load
+from oatcart.handover import AMOUNT_MOST, is_amount, load
 from oatcart.net.ending import Ended, Ending
 from oatcart.net.stream import Address
 from oatcart.tables import Part
@@ -14,6 +14,11 @@
 _STATES = {"SERVING": our.READY, "DRAINING": our.DRAINING, "DELETED": our.GONE}
 _UNFIT = (KeyError, TypeError, ValueError, AttributeError, OverflowError)  # raised over what does not fit
 PING, PONG = ("ping",), b'{"msg":"pong"}\n'
+COUNT_MOST = 10 ** 7  # reqs of one sum, proxies, revisions' steps: more than a fleet meets in any window
+ID_MOST = 256  # letters of a node's id, as kept
+NAME_SHOWN = 80  # letters of what does not fit, in the log
+ENTRY_SHOWN = 300  # letters of a node's entry that does not fit
+SPAN_MOST = 3.6e6  # ms, an hour: no sum covers so much and no req takes so long
 ROLL_PATH, HEALTH_PATH, LOAD_PATH = "/v1/servers", "/healthz", "/load"
 
 
@@ -71,39 +76,47 @@
         self.nodes: list[str] = []
 
     def place(self, node: str) -> int:
-        if not isinstance(node, str):
-            raise TypeError(f"{node!r} is no node")
+        if not isinstance(node, str) or not 0 < len(node) <= ID_MOST:
+            raise TypeError(f"{str(node)[:NAME_SHOWN]!r} is no node")
         if node not in self.places:
             self.places[node] = len(self.nodes)
             self.nodes.append(node)
         return self.places[node]
 
     def arrival(self, line: memoryview) -> tuple | None:
-        """A message as the module is told of it, PING, or ("collector", its zone); None for unknown kinds."""
+        """A message as the module is told of it, PING, or ("collector", its zone). All of it is checked here:
+        one with a spoilt field costs itself alone, and what only such a message names gets no number."""
         table = parsed(line)
         try:
-            read = _READERS.get(table.get("msg"))
-            return read and read(self, table)
+            return _READERS[table["msg"]](self, table)
         except _UNFIT as error:
-            raise Odd(f"{table.get('msg')}: {error!r}") from None
+            raise Odd(f"{str(table.get('msg'))[:NAME_SHOWN]}: {str(error)[:NAME_SHOWN]!r} does not fit") from None
+
+    def _collector(self, table: dict) -> tuple:
+        self.zones[table["az"]]
+        return ("collector", table["az"])
 
     def _joined(self, table: dict) -> tuple:
-        return ("joined", self._proxy(table), self.zones[table["az"]], _amount(table.get("share", 0.0)),
-                bool(table.get("standing")))
+        blank = table.get("standing", False)
+        if not isinstance(blank, bool):
+            raise TypeError(f"standing {blank!r}")
+        return ("joined", self._proxy(table), self.zones[table["az"]],
+                _amount(table.get("share", 0.0), COUNT_MOST), blank)
 
     def _applied(self, table: dict) -> tuple:
-        return ("applied", self._proxy(table), _count(table["version"]),
-                _amount(table.get("lag_ms", 0.0)) / 1000)
+        return ("applied", self._proxy(table), _count(table["version"]), _span(table["lag_ms"]))
 
     def _met(self, table: dict) -> tuple:
-        tried = _count(table["n"])
-        return ("met", self.place(table["host"]), self.zones[table["az"]], _amount(table["window"]) / 1000,
-                _amount(table.get("avg") or 0.0) / 1000, min(tried, _count(table.get("bad", 0))), tried,
+        tried, errored = _count(table["n"]), _count(table["bad"])
+        if errored > tried:
+            raise ValueError(f"bad {errored} of {tried}")
+        took = _span(table["avg"]) if tried > errored else 0.0  # there is no mean of nothing
+        return ("met", self.places[table["host"]], self.zones[table["az"]], _window(table), took, errored, tried,
                 load(table.get("report")))
 
     def _came(self, table: dict) -> tuple:
         return ("came", self._proxy(table), self.kinds[table["kind"]], _count(table["n"]),
-                _count(table.get("bad", 0)), _amount(table["window"]) / 1000)
+                _count(table["bad"]), _window(table))  # bad ones may have come in an earlier window
 
     def _proxy(self, table: dict) -> int:
         proxy = _count(table["sidecar"])
@@ -112,21 +125,22 @@
         return proxy
 
     def roll(self, table: dict) -> Roll:
-        """A list of nodes, whole or changed entries only; an entry that cannot be used is left out."""
+        """A list of nodes, whole or changed entries only; an entry that cannot be used is left out, and as the node
+        it was about may be any, such a list leaves out nobody else: it counts as changes."""
         if not is_amount(table.get("revision")) or not isinstance(table.get("members"), list):
             raise Ended(Ending.UNREADABLE, "no list of nodes")
         roll = Roll(int(table["revision"]), bool(table.get("complete")), [], [], [])
         for one in table["members"]:
             try:
-                place = self.place(one["id"])
-                entry = (place, self.zones[one["locality"]], _amount(one.get("up_since_ms") or 0) / 1000,
-                         _STATES[one["phase"]], _amount(one.get("size") or 1.0))
-                if one.get("host_port"):
-                    roll.addresses.append((place, address(one["host_port"])))
-                roll.entries.append(entry)
+                zone, started = self.zones[one["locality"]], _amount(one.get("up_since_ms") or 0) / 1000
+                state, nominal = _STATES[one["phase"]], _amount(one.get("size") or 1.0)
+                at = one.get("host_port") and address(one["host_port"])
+                place = self.place(one["id"])  # last: an entry that is left out gets no number
+                roll.addresses.extend([(place, at)] if at else [])
+                roll.entries.append((place, zone, started, state, nominal))
             except _UNFIT as error:
-                roll.odd.append(f"{one}: {error!r}")
-        return roll
+                roll.odd.append(f"{one}: {error!r}"[:ENTRY_SHOWN])
+        return roll._replace(whole=roll.whole and not roll.odd)
 
     def message(self, parts: tuple[Part, ...]) -> bytes:
         """One message to a proxy, a line a part."""
@@ -159,7 +173,7 @@
 
 _READERS = {
     "ping": lambda codec, table: PING,
-    "collector": lambda codec, table: ("collector", str(table.get("az"))),
+    "collector": Codec._collector,
     "joined": Codec._joined,
     "applied": Codec._applied,
     "heard": Codec._met,
@@ -167,11 +181,24 @@
 }
 
 
-def _amount(value: object) -> float:
-    if not is_amount(value):
+def _amount(value: object, most: float = AMOUNT_MOST) -> float:
+    if not is_amount(value) or value > most:
         raise ValueError(f"{value!r} is no amount")
     return float(value)
 
 
+def _span(value: object) -> float:
+    """Milliseconds of the wire in seconds."""
+    return _amount(value, SPAN_MOST) / 1000
+
+
+def _window(table: dict) -> float:
+    if span := _span(table["window"]):
+        return span
+    raise ValueError("a window of 0")
+
+
 def _count(value: object) -> int:
-    return int(_amount(value))
+    if not isinstance(value, int):  # 1.5 would speak for 1
+        raise TypeError(f"{value!r} is no count")
+    return int(_amount(value, COUNT_MOST))
--- a/oatcart/net/collector.py
+++ b/oatcart/net/collector.py
@@ -17,3 +17,5 @@
         told = yield from talk.arrival(stream, codec, skipped)
         if told[0] in REPORTS:
             rounds.arrive(told)
+        else:
+            skipped(Odd(f"a collector does not say {told[:2]}"))
--- a/oatcart/net/door.py
+++ b/oatcart/net/door.py
@@ -12,9 +12,13 @@
 from oatcart.net.loop import IN, Loop, Task, Wait
 from oatcart.net.stream import Address, Stream
 
-STRANGER_MOST = 10.0  # s until a stranger has said who it is; a proxy does so with its first bytes
-KEPT_BACK = 96  # descriptors for discovery, probes, the loop and the log
+STRANGER_MOST = 1.5  # s from its accept until a stranger has said who it is; a proxy does so with its first bytes
+STRANGER_LINE = 1024  # bytes of its message, and of what it may leave unread: ten times a joining
+REPORTS_ROOM = 16 * 1024  # bytes that are read of a collector at a time, some hundred reports
+COLLECTORS_MOST = 2  # of a zone; one that redials leaves connections behind that nobody sees end
+KEPT_BACK = 16  # descriptors: standard streams, epoll, the listener, the wake pair, two calls to discovery; half spare
 BACKLOG = 1024  # connections not yet accepted: a whole fleet may dial at once
+ACCEPTS_MOST = 64  # in one turn of the loop, so that those who are in use are read in between
 NO_ROOM_WAIT = 0.2  # s without accepting where there is no room; far within a proxy's redial
 
 
@@ -22,11 +26,12 @@
     def __init__(self, loop: Loop, log: Log, codec: Codec, rounds: Rounds, descriptors: int) -> None:
         self.loop, self.log, self.codec, self.rounds = loop, log, codec, rounds
         self.limit(descriptors)
-        self.lives: dict[Stream, Task] = {}  # of all connections, oldest first
-        self.collectors: set[Stream] = set()
+        self.lives: dict[Stream, Task] = {}  # of all connections
+        self.strangers: dict[Stream, None] = {}  # those that have not said who they are, oldest first
+        self.collectors: dict[str, list[Stream]] = {}  # by zone, oldest first
 
     def limit(self, descriptors: int) -> None:
-        self.most = max(1, descriptors - KEPT_BACK)
+        self.loop.open_most = max(1, descriptors - KEPT_BACK)
 
     def listen(self, address: Address) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -40,49 +45,70 @@
         while True:
             yield Wait(listener.fileno(), IN)
             try:
-                sock, _ = listener.accept()
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                for _ in range(ACCEPTS_MOST):
+                    sock, _ = listener.accept()
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    self._let_in(sock)
             except BlockingIOError:
                 continue
             except OSError as error:
                 if error.errno != errno.ECONNABORTED:
                     self.log.say("door", f"cannot accept: {ended_by(error)}")
                     yield Wait(until=self.loop.now + NO_ROOM_WAIT)
-                continue
-            stream = Stream(self.loop, sock)
-            self.lives[stream] = self.loop.spawn(self._life(stream))
-            if len(self.lives) >= self.most:
-                self.log.say("door", f"a stranger gone: {Ended(Ending.CROWDED)}")
-                self.loop.end(self.lives[self._least_needed()])
 
-    def _least_needed(self) -> Stream:
-        """The oldest connection of a stranger, or of a proxy that has a newer one; at worst the newest of all."""
-        used = {*self.collectors, *self.rounds.streams.values()}
-        return next(stream for stream in self.lives if stream not in used)
+    def _let_in(self, sock: socket.socket) -> None:
+        """Where there is no room the oldest stranger makes way, else this one; never who is in use. What has come
+        already is read first: in a flood of strangers a proxy is none."""
+        stream = Stream(self.loop, sock, STRANGER_LINE, STRANGER_LINE, STRANGER_LINE)
+        self.strangers[stream] = None
+        life = self.loop.spawn(self._life(stream))
+        if stream.sock.fileno() < 0:
+            return  # it was over at once
+        self.lives[stream] = life
+        if self.loop.open > self.loop.open_most:
+            self.log.say("door", f"a stranger gone: {Ended(Ending.CROWDED)}")
+            self._end(next(iter(self.strangers), stream))
 
     def _life(self, stream: Stream) -> Generator[Wait, bool, None]:
-        """The life of a connection, whoever is at its other end."""
+        """The life of a connection, whoever is at its other end. Until it has joined it has one deadline, whatever
+        it says, and a small buffer: what strangers cost is theirs alone."""
         who = "a stranger"
         try:
-            told = yield from talk.arrival(stream, self.codec, self._refuse, STRANGER_MOST)
+            told = yield from talk.arrival(stream, self.codec, self._refuse, self.loop.now + STRANGER_MOST)
             if told[0] == "collector":
-                self.collectors.add(stream)
                 who = f"collector of {told[1]}"
+                del self.strangers[stream]
+                stream.widen(REPORTS_ROOM)
+                self._keep_newest(self.collectors.setdefault(told[1], []), stream)
                 yield from collector.live(stream, self.codec, self.rounds, self._skipped)
             elif told[0] == "joined":
                 who = f"proxy {told[1]}"
-                yield from sidecar.live(stream, told, self.codec, self.rounds, self._skipped)
+                del self.strangers[stream]
+                stream.widen()
+                yield from sidecar.live(stream, told, self.codec, self.rounds, self._skipped, self._end)
             else:
                 self._refuse(Odd(f"{told[0]!r} is no first message"))
         except Ended as ended:
             self.log.say("door", f"{who} gone: {ended}")
         finally:
-            self.collectors.discard(stream)
+            self.strangers.pop(stream, None)
+            for streams in self.collectors.values():
+                if stream in streams:
+                    streams.remove(stream)
             self.lives.pop(stream, None)
             stream.close()
 
+    def _keep_newest(self, streams: list[Stream], stream: Stream) -> None:
+        streams.append(stream)
+        if len(streams) > COLLECTORS_MOST:
+            self._end(streams[0])
+
+    def _end(self, stream: Stream) -> None:
+        if stream in self.lives:
+            self.loop.end(self.lives[stream])
+
     def _refuse(self, odd: Odd) -> None:
-        """Who cannot say who it is has no use here."""
+        """Who does not say who it is has no use here."""
         raise Ended(Ending.UNREADABLE, str(odd))
 
     def _skipped(self, odd: Odd) -> None:
--- a/oatcart/net/loop.py
+++ b/oatcart/net/loop.py
@@ -39,6 +39,7 @@
         self.waiting: dict[tuple[int, int], Task] = {}  # by descriptor and event
         self.timers: list[tuple] = []  # (when, number, task or call, the task's turn)
         self.timed = 0
+        self.open, self.open_most = 0, inf  # connections, whoever dialled; for how many there are descriptors
         self.now = clock()
 
     def spawn(self, steps: Steps) -> Task:
--- a/oatcart/net/probe.py
+++ b/oatcart/net/probe.py
@@ -9,7 +9,7 @@
 from oatcart.net.loop import Loop, Wait
 from oatcart.net.stream import Address
 
-PROBES_MOST = 64  # at a time, each a descriptor; a round asks for one a withdrawn node
+PROBES_MOST = 64  # at a time, each a descriptor while there are any left; a round asks for one a withdrawn node
 
 
 class Prober:
@@ -27,7 +27,7 @@
         began, told, ending = self.loop.now, (None, None, None), Ending.DONE
         self.under_way += 1
         try:
-            if self.under_way > PROBES_MOST or node not in self.addresses:
+            if self.under_way > PROBES_MOST or self.loop.open >= self.loop.open_most or node not in self.addresses:
                 raise Ended(Ending.CROWDED)
             client = Client(self.loop, self.addresses[node])
             try:
--- a/oatcart/net/stream.py
+++ b/oatcart/net/stream.py
@@ -11,7 +11,7 @@
 from oatcart.net.ending import Ended, Ending, ended_by
 from oatcart.net.loop import IN, OUT, Loop, Wait
 
-BUFFER_FIRST = 16 * 1024  # bytes; a turn's reading of one connection, some hundred reports
+ROOM = 4 * 1024  # bytes; a turn's reading of one connection, some dozen reports; hundreds of connections have one
 MESSAGE_MOST = 1024 * 1024  # bytes of a line or of an answer's part: the protocol's limit
 UNSENT_MOST = 256 * 1024  # bytes; hundreds of tables, so whoever leaves them unread is silent, not slow
 
@@ -19,12 +19,22 @@
 
 
 class Stream:
-    def __init__(self, loop: Loop, sock: socket.socket) -> None:
+    """`room`: bytes that are read at a time. `most`: of a message. `unsent_most`: left unread by the other side."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, room: int = ROOM, most: int = MESSAGE_MOST,
+                 unsent_most: int = UNSENT_MOST) -> None:
         sock.setblocking(False)
         self.loop, self.sock, self.fd = loop, sock, sock.fileno()
-        self.view = memoryview(bytearray(BUFFER_FIRST))
+        loop.open += 1
+        self.view = memoryview(bytearray(room))
         self.start = self.seen = self.end = 0  # bytes handed out, searched and read
         self.unsent = bytearray()
+        self.fresh = True  # nothing was read yet: what may have come with the connection is not waited for
+        self.widen(room, most, unsent_most)
+
+    def widen(self, room: int = ROOM, most: int = MESSAGE_MOST, unsent_most: int = UNSENT_MOST) -> None:
+        """Other bounds from here on: whoever has said who it is gets those of a connection in use."""
+        self.room, self.most, self.unsent_most = room, most, unsent_most
 
     def line(self, until: float = inf) -> Generator[Wait, bool, memoryview]:
         """The next line without its end."""
@@ -35,7 +45,7 @@
                 self.seen = self.start
                 return line
             self.seen = self.end
-            if self.end - self.start > MESSAGE_MOST:
+            if self.end - self.start > self.most:
                 raise Ended(Ending.TOO_LONG)
             if not (yield from self._fill(until)):
                 raise Ended(Ending.CLOSED)
@@ -50,9 +60,11 @@
 
     def _fill(self, until: float) -> Generator[Wait, bool, int]:
         self._make_room()
+        first, self.fresh = self.fresh, False
         while True:
-            if not (yield Wait(self.fd, IN, until)):
+            if not first and not (yield Wait(self.fd, IN, until)):
                 raise Ended(Ending.SILENT)
+            first = False
             try:
                 size = self.sock.recv_into(self.view[self.end:])
             except BlockingIOError:
@@ -65,8 +77,8 @@
     def _make_room(self) -> None:
         """Move what is left to the front, in a larger buffer if it fills half of this one."""
         left = self.end - self.start
-        if not left and len(self.view) > BUFFER_FIRST:
-            self.view = memoryview(bytearray(BUFFER_FIRST))
+        if not left and len(self.view) != self.room:
+            self.view = memoryview(bytearray(self.room))
         elif 2 * left > len(self.view):
             larger = memoryview(bytearray(2 * len(self.view)))
             larger[:left] = self.view[self.start:self.end]
@@ -85,7 +97,7 @@
             if sent < len(data):
                 self.unsent += memoryview(data)[sent:]
                 self.loop.spawn(self._flush())
-        if len(self.unsent) > UNSENT_MOST:  # a message left out would spoil all later ones, so it is the end
+        if len(self.unsent) > self.unsent_most:  # a message left out would spoil all later ones, so it is the end
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)  # the reader learns of it as of any other end
             raise Ended(Ending.UNREAD)
@@ -109,6 +121,7 @@
     def close(self) -> None:
         if self.sock.fileno() >= 0:  # else the descriptor may be another's by now
             self.loop.close(self.fd)
+            self.loop.open -= 1
             self.sock.close()
 
 
--- a/oatcart/net/talk.py
+++ b/oatcart/net/talk.py
@@ -9,11 +9,11 @@
 
 
 def arrival(stream: Stream, codec: Codec, odd: Callable[[Odd], None],
-            most: float = inf) -> Generator[Wait, bool, tuple]:
-    """The next message that there is a use for, each line within `most` seconds. One that can be read but not
-    used goes to `odd`, which may end the connection."""
+            until: float = inf) -> Generator[Wait, bool, tuple]:
+    """The next message that there is a use for, by the time `until` whatever else comes before it. One that can
+    be read but not used goes to `odd`, which may end the connection."""
     while True:
-        line = yield from stream.line(stream.loop.now + most)
+        line = yield from stream.line(until)
         try:
             told = codec.arrival(line)
         except Odd as error:
--- a/oatcart/tables.py
+++ b/oatcart/tables.py
@@ -39,6 +39,7 @@
     bound: dict[int, int] = field(default_factory=dict)  # kinds, as bits, by table
     fresh: set[int] = field(default_factory=set)  # tables that it was bound to this round
     shut: dict[int, bool] = field(default_factory=dict)  # by node: what this stream told of withdrawals
+    mark: int | None = None  # the last that this stream was asked for
 
 
 class Tables:
@@ -102,6 +103,11 @@
     def ask_ack(self, mark: int, everyone: bool) -> None:
         self.mark, self.mark_all = mark, everyone
 
+    def asked(self, proxy: int, mark: int) -> bool:
+        """Whether this mark, or a later one, was asked for on the proxy's stream."""
+        last = self.proxies[proxy].mark
+        return last is not None and mark < our.MARKS and (last - mark) % our.MARKS < our.MARKS // 2
+
     def messages(self) -> Iterator[tuple[int, tuple[Part, ...]]]:
         """One message for each proxy concerned; afterwards the round's changes are told."""
         made: dict[tuple, tuple[list[Part], list[int]]] = {}  # what proxies on the same table share
@@ -110,6 +116,7 @@
             if self.mark is not None and (parts or self.mark_all):
                 parts = parts or [Part()]
                 parts[-1] = parts[-1]._replace(mark=self.mark)
+                one.mark = self.mark
             if parts:
                 yield proxy, tuple(parts)
         for one in self.proxies.values():
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -211,6 +211,7 @@
             return listener.accept()
 
     full, listener = Full(), socket.create_server(("127.0.0.1", 0))
+    listener.setblocking(False)
     one.loop.spawn(one.door._accept(full))
     with listener, socket.create_connection(listener.getsockname()) as end:
         one.until(lambda: "no room" in one.out.getvalue(), "a line in the log")
