Nodes that a table lacks may use more of the message cap than weights

Checked by a trace of each table, once a second: from 10.4 to 15 s no line of any table changed at all. Weights had used the messages of the 10 s window (half of 12), drains the next ones; the 12 new nodes stood at no weight for 5 s while the rest held 150 to 290% of their room.

At fault: publish() in policy.py held new lines to ORDINARY_PART, as it does weights. Now once over a tenth of a table's nodes have no line there, what is due may use 0.85 of the messages, at any look, still after most acks; drains keep the rest. Also for growth, a zone that comes back, a conductor that starts over. It may hurt where nodes flap in large numbers under a tight cap. One new node alone waits its turn as before.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -23,6 +23,7 @@
 SLOW_MOST, DRAINS_LEAST = 3.0, 4  # s of channel for a table, each widens the threshold; lines worth a head
 ACK_WAIT, DRAIN_WAIT = 2.0, 1.0  # s; the design's, for most proxies; drains share late messages so long
 ORDINARY_PART, RETURNS_PART, URGENT_PART, QUEUE_PART = 0.5, 0.6, 0.7, 0.9  # of the caps; the rest for drains
+MISSING_PART, LACKING = 0.85, 0.1  # of the messages, once this share of a table's nodes has no line there yet
 NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing costs 8 points or more
 LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
 LEAN_FALL, LEAN_RISE, LEAN_LEAST = 0.7, 1.06, 0.05  # a second; the part by which a zone is still known
@@ -164,8 +165,7 @@
     def __init__(self, *, seed: int, kinds: list[our.ReqKind], roll: our.RollManners,
                  channel: our.ChannelLimits, cold: our.ColdLimits, report_period: float, admitting: str,
                  crossing_price: float, may_probe: bool) -> None:
-        self.uniform = Random(seed).uniform
-        self.kinds, self.roll, self.cold = kinds, roll, cold
+        self.uniform, self.kinds, self.roll, self.cold = Random(seed).uniform, kinds, roll, cold
         self.period = self.heard_over = report_period  # as set, and as sums in fact cover it
         self.admitting, self.crossing_price, self.may_probe = admitting, crossing_price, may_probe
         self.channel = Channel(channel)
@@ -415,8 +415,7 @@
 
     def wanted(self, table: Table) -> dict[int, int]:
         """The table as it should stand: the rounded score of each listed node, eased in after a start."""
-        pool = self.pool(table.zones)
-        want = {}
+        pool, want = self.pool(table.zones), {}
         for place, node in pool.items():
             lean = 1.0 if table.zones else self.lean.get(node.zone, 1.0)
             part = ramp(self.now - node.eased_at) * (lean if node.zone in self.bound else 1.0)
@@ -458,10 +457,11 @@
                    or abs(new - old) > slow * max(RESEND_OVER, LEANED_OVER * old)}
         bare = not any(at in want and not self.nodes[at].out for at in table.lines) or not table.proxies
         paced = len(table.waiting) * 2 < len(table.proxies) or self.now - table.changed_at >= ACK_WAIT
-        usual = paced and scored and not bare  # else some go alone: all of them took other tables' room
+        lacks = sum(not both[at][0] for at in changes) > LACKING * len(want)  # weights use up the messages
+        usual = paced and (scored or lacks) and not bare  # some go alone: all took the others' room
         idle = fresh and not self.channel.queued
         due = [at for at in changes if usual or bare or idle or at in fresh or fresh and not both[at][0]]
-        part = ORDINARY_PART if usual else RETURNS_PART
+        part = RETURNS_PART if not usual else MISSING_PART if lacks else ORDINARY_PART
         room = self.channel.claim(table.proxies, len(due), part, 1) if due else 0
         rank = {at: (self.nodes[at].shut, both[at][0] > 0, -abs(changes[at] - both[at][0])) for at in due}
         sent = {at: changes.pop(at) for at in sorted(due, key=rank.__getitem__)[:room]}
