Nodes long gone are dropped, and the ramp lasts twice a short warm-up at most

Traced, each table once a second: new nodes are listed about 2 s after their start, with a warm-up of 1 s told by the settings, yet stood at a third of their weight for 3 s more; at 23 s they held 2 to 6 tries each, the old ones 20 and 100 to 260% of their room. Ruled out: the message cap (8 to 9 of 12), the queue (empty), the list. At fault: the ramp's 5 s in policy.py, whatever the settings say of cold nodes. Now a start's ramp is over after RAMP_COLD warm-ups, if that is shorter; the way back of a withdrawn node keeps 5 s. It changes nothing where nodes warm for longer.

Also: a node gone for 30 to 60 s that no table holds is let back and dropped, record, address, withdrawals and number, in batches.

--- a/oatcart/interface.py
+++ b/oatcart/interface.py
@@ -14,7 +14,7 @@
 
 A round with nothing in it is the end of a wait asked for with `wake`.
 A load is (held, busy, waiting): reqs held, share of the cores in use, reqs waiting; None where not told.
-Nodes, kinds, zones, proxies and tables are small whole numbers; a node keeps its number for good.
+Nodes, kinds, zones, proxies and tables are small whole numbers; a node keeps its number until it is dropped.
 """
 
 from collections.abc import Iterable
@@ -67,7 +67,8 @@
 
 
 class OrderWriter(Protocol):
-    """Where a conductor writes its decisions, in the order in which they are to take effect."""
+    """Where a conductor writes its decisions, in the order in which they are to take effect.
+    A dropped node is let back where it was shut out, as its id may return, and then forgotten with its number."""
 
     def line(self, table: int, node: int, weight: float) -> None: ...
 
@@ -79,6 +80,8 @@
 
     def admit(self, table: int, kinds: int, level: float, tries: int) -> None: ...
 
+    def drop(self, node: int) -> None: ...
+
     def ask_ack(self, mark: int, everyone: bool) -> None: ...
 
     def probe(self, node: int) -> None: ...
--- a/oatcart/net/codec.py
+++ b/oatcart/net/codec.py
@@ -74,15 +74,25 @@
         self.proxies = proxies
         self.places: dict[str, int] = {}
         self.nodes: list[str] = []
+        self.freed: list[int] = []  # numbers that are nobody's
 
     def place(self, node: str) -> int:
         if not isinstance(node, str) or not 0 < len(node) <= ID_MOST:
             raise TypeError(f"{str(node)[:NAME_SHOWN]!r} is no node")
         if node not in self.places:
-            self.places[node] = len(self.nodes)
-            self.nodes.append(node)
+            if self.freed:
+                self.places[node] = self.freed.pop()
+                self.nodes[self.places[node]] = node
+            else:
+                self.places[node] = len(self.nodes)
+                self.nodes.append(node)
         return self.places[node]
 
+    def free(self, place: int) -> None:
+        """A node's number may be another's: else memory grows with every node ever listed."""
+        del self.places[self.nodes[place]]
+        self.freed.append(place)
+
     def arrival(self, line: memoryview) -> tuple | None:
         """A message as the module is told of it, PING, or ("collector", its zone). All of it is checked here:
         one with a spoilt field costs itself alone, and what only such a message names gets no number."""
--- a/oatcart/net/conductor.py
+++ b/oatcart/net/conductor.py
@@ -74,10 +74,14 @@
             self.due, self.last = False, self.loop.now
             self.rounds += 1
             self._round(self.loop.now + self.offset)
+            dropped = self.dropped
             try:
                 self._tell()
             except Exception:
                 self.log.say("round", f"its orders cannot be told\n{traceback.format_exc()}")
+            for node in dropped:  # told, and nothing that is still to be read names it by its number
+                self.codec.free(node)
+                self.watcher.addresses.pop(node, None)
         elif self.due and not self.set_off:
             self.set_off = True
             self.loop.at(self.last + self.least_gap, self._gap_over)
--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -1,8 +1,7 @@
 """All decisions of an oatcart conductor.
 
-A host makes one `Conductor` with the limits it is handed, and calls `round(now, arrivals, orders)` once a
-round with all that came in; decisions go straight into `orders`. What arrivals look like, the limits and
-the order writer stand in `oatcart/interface.py`. The design and each departure: `docs/design.md`.
+A host makes one `Conductor` with its limits and calls `round(now, arrivals, orders)` once a round with all
+that came in. Arrivals, limits and the order writer: `oatcart/interface.py`; departures: `docs/design.md`.
 """
 
 from collections import deque
@@ -27,7 +26,7 @@
 NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing costs 8 points or more
 LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
 LEAN_FALL, LEAN_RISE, LEAN_LEAST = 0.7, 1.06, 0.05  # a second; the part by which a zone is still known
-RAMP_FROM, RAMP_OVER, RISE_MOST = 0.25, 5.0, 1.35  # share; s, half the page's, open there; a score's rise
+RAMP_FROM, RAMP_OVER, RAMP_COLD, RISE_MOST = 0.25, 5.0, 2.0, 1.35  # share; s, or warm-ups; a score's rise
 COLD_MARGIN, COLD_MEETS, COLD_LETS, UNHEARD = 0.25, 2.5, 1.2, 0.05  # parts of what cold nodes stand: by
 # weight (half for two draws, half for others' proxies), as drawn, for a cold pool; where nothing is heard
 HEARD_STEP, STEP = 0.02, 0.4  # parts of a new figure taken over: of the interval heard, from all sums; else
@@ -44,7 +43,7 @@
 LEVEL_LEAST, LEVEL_STEP, RATE_OPEN = 0.02, 0.04, 1e6  # share always let in; change sent; reqs/s, open
 TRIES_UNDER, TRIES_OVER = 0.45, 0.02  # strain, share errored: else a try cut off for another is just waste
 ASK_AGAIN, ASK_MOST, FETCH_EVERY = 0.5, 4.0, 20.0  # s; waits after a failed call; a full list now and then
-LONG_AGO, CLOCK_STEP = -1e9, 0.001  # s; before any clock's start; the clock may round a wake down
+LONG_AGO, CLOCK_STEP, KEPT_GONE = -1e9, 0.001, 30.0  # s; before any start; clocks round; beyond any redial
 
 
 @dataclass(slots=True)
@@ -123,8 +122,7 @@
 
 
 def strain(nodes: list[Node], target: float) -> float:
-    """How far the median node in use is from answering on time; above 1 it does not, or fails too much.
-    Errors beside quick answers are no overload: clients that give up, answers lost on the way."""
+    """How far the median node is from on time or fails; errors beside quick answers are no overload."""
     used = [node for node in nodes if not node.out and node.tried >= 1]
     late = median([n.took / n.good if n.good else target for n in used] or [0.0]) / (ON_TIME * target)
     return max(late, min(1.0, late) * median([node.errored / node.tried for node in used] or [0.0]) / FAILING)
@@ -168,12 +166,10 @@
         self.uniform, self.kinds, self.roll, self.cold = Random(seed).uniform, kinds, roll, cold
         self.period = self.heard_over = report_period  # as set, and as sums in fact cover it
         self.admitting, self.crossing_price, self.may_probe = admitting, crossing_price, may_probe
-        self.channel = Channel(channel)
-        self.nodes: list[Node] = []
-        self.proxies, self.tables = {}, {}  # by number; by the kinds and nodes that a table is for
+        self.channel, self.nodes, self.proxies = Channel(channel), {}, {}  # by number
         self.lean, self.bound = {}, set()  # by zone: its part in open tables; zones kinds can't leave
         self.target = min((req.response_target for req in kinds), default=1.0)  # the mean of what comes
-        self.answers, self.mark = 0.0, 0  # heard since the start, of all nodes; the last mark
+        self.tables, self.answers, self.mark = {}, 0.0, 0  # by kinds and nodes; heard of all; the last mark
         self.look_at = self.rescore_at = self.ask_at = self.fetch_at = self.marked_at = LONG_AGO
         self.following, self.ask_wait = not roll.must_ask, ASK_AGAIN
 
@@ -209,6 +205,7 @@
         for table in self.tables.values():
             self.publish(table, scored)
         self.turn_nodes(False)
+        self.drop_gone()
 
     def ask_roll(self) -> None:
         """Follow the roll, asking again with growing waits; now and then fetch it whole."""
@@ -225,8 +222,8 @@
         if self.ask_at > LONG_AGO:  # an answer, not the list held at the start
             self.following, self.ask_wait, self.ask_at = True, ASK_AGAIN, self.now
         self.look_at = self.rescore_at = LONG_AGO  # a pool that lost its warm nodes must not wait
-        told = {entry[0] for entry in entries} if whole else range(len(self.nodes))
-        gone = [(at, node.zone, 0.0, our.GONE, 0.0) for at, node in enumerate(self.nodes) if at not in told]
+        told = {entry[0] for entry in entries} if whole else self.nodes
+        gone = [(at, node.zone, 0.0, our.GONE, 0.0) for at, node in self.nodes.items() if at not in told]
         for place, zone, started, state, nominal in [*gone, *entries]:
             node = self.node(place)
             if (state == our.READY) != (node.state == our.READY) or node.turned_at == LONG_AGO:
@@ -234,11 +231,10 @@
             node.zone, node.state, node.nominal = zone, state, nominal if nominal > 0 else 1.0
             if started > node.started:
                 node.started, node.share = started, 0.0  # cold it gets less, so owes less
-                self.forget(node, started)
+                self.forget(node, started - max(0.0, RAMP_OVER - RAMP_COLD * (self.cold.warm_after or inf)))
 
     def node(self, place: int) -> Node:
-        self.nodes += [Node() for _ in range(place + 1 - len(self.nodes))]
-        return self.nodes[place]
+        return self.nodes.setdefault(place, Node())
 
     def forget(self, node: Node, eased_at: float) -> None:
         """Old evidence is of another life."""
@@ -249,7 +245,7 @@
 
     def pool(self, zones: tuple[int, ...] = ()) -> dict[int, Node]:
         """The ready nodes, of some zones or of all."""
-        return {place: node for place, node in enumerate(self.nodes)
+        return {place: node for place, node in self.nodes.items()
                 if node.state == our.READY and (not zones or node.zone in zones)}
 
     def take_joined(self, proxy: int, zone: int, usual: float, blank: bool) -> None:
@@ -267,14 +263,13 @@
                 for (zones, near), kinds in groups.items()]
 
     def bind_joined(self) -> None:
-        """Bind joiners as there is room: whole tables to all at once overran the queue. The shortest tables
-        go first, as who is bound knows what is withdrawn: some learned of drains after the grace."""
-        listed = any(node.turned_at > LONG_AGO for node in self.nodes)  # else their own tables are better
+        """As there is room (all at once overran the queue), short tables first: the bound learn of drains."""
+        listed = any(node.turned_at > LONG_AGO for node in self.nodes.values())  # else their own are better
         joiners = {number: proxy for number, proxy in self.proxies.items() if listed and not proxy.bound}
         pairs = [(number, table) for number, proxy in joiners.items() for table in self.tables_of(proxy.zone)]
         for table in [one for one in self.tables.values() if joiners and not one.proxies]:
             self.publish(table)
-        known = any(node.shut for node in self.nodes)
+        known = any(node.shut for node in self.nodes.values())
         pairs.sort(key=lambda pair: (known and len(pair[1].lines), -sum(joiners[pair[0]].rates)))
         for at, table in pairs:
             told = (joiners[at].held or self.nodes[node].shut for node in table.lines)
@@ -307,11 +302,8 @@
         node = self.node(place)
         self.heard_over += HEARD_STEP * (max(over, self.period) - self.heard_over)
         node.tried, node.errored, good = node.tried + tried, node.errored + errored, max(0, tried - errored)
-        if good and took >= 0:
-            self.answers += good
-            node.good += good
-            node.took += good * took
-            node.answered += good
+        self.answers, node.answered = self.answers + good, node.answered + good
+        node.good, node.took = node.good + good, node.took + good * took
         held, busy, _ = load
         if busy is None and held is not None:  # against what was held while answering on time
             late = node.good and node.took / node.good > ON_TIME * self.target
@@ -340,7 +332,7 @@
                     and self.sick(node, list(ready.values())):
                 self.take_out(place, node)
         keep = 1.0 - LOOK_EVERY / max(FORGET, FORGET_PERIODS * self.heard_over)
-        for node in self.nodes:
+        for node in self.nodes.values():
             node.good, node.took = node.good * keep, node.took * keep
             node.tried, node.errored = node.tried * keep, node.errored * keep
         for table in self.tables.values():  # no proxy is left without a line by evidence alone
@@ -367,7 +359,7 @@
 
     def turn_nodes(self, out: bool) -> None:
         """Keep drained, gone, withdrawn nodes out of all tables that proxies hold, but none only heard of."""
-        due = {place: node for place, node in enumerate(self.nodes)
+        due = {place: node for place, node in self.nodes.items()
                if (node.out or node.state != our.READY) == out != node.shut and node.turned_at > LONG_AGO}
         for one in self.tables.values() if not out else ():  # none is let in on a line of its former life
             due = {at: node for at, node in due.items() if one.lines.get(at, 0) <= one.pending.get(at, inf)}
@@ -378,6 +370,16 @@
             due[place].shut = out
             self.orders.withdraw(place, out)
 
+    def drop_gone(self) -> None:
+        """Nothing is kept of nodes long gone and in nobody's lines; in batches, as each costs a message."""
+        over = [at for at, node in self.nodes.items() if LONG_AGO < node.turned_at < self.now - KEPT_GONE
+                and node.state == our.GONE and not any(at in one.lines for one in self.tables.values())]
+        due = any(self.nodes[at].turned_at < self.now - 2 * KEPT_GONE for at in over)
+        bound = all(proxy.bound for proxy in self.proxies.values())  # tables of others may hold it
+        for at in over[:self.channel.claim(self.proxies, len(over), RETURNS_PART, 1) if due and bound else 0]:
+            self.orders.drop(at)
+            del self.nodes[at]
+
     def rescore(self) -> None:
         """The design's scores; no reports get the average, a listed weight scales by its ratio."""
         ready, sums = self.pool().values(), {}
--- a/oatcart/simhost/host.py
+++ b/oatcart/simhost/host.py
@@ -33,6 +33,10 @@
     def admit(self, table: int, kinds: int, level: float, tries: int) -> None:
         self._write(wire.admit(self._inst, table, kinds, level, tries))
 
+    def drop(self, node: int) -> None:
+        """Its number stays: the wire's own is a number too, and no instance outlives its day."""
+        self.withdraw(node, False)
+
     def ask_ack(self, mark: int, everyone: bool) -> None:
         self._write(wire.ask_ack(self._inst, mark, everyone))
 
--- a/oatcart/tables.py
+++ b/oatcart/tables.py
@@ -58,6 +58,7 @@
         self.all_relevelled: set[int] = set()
         self.mark: int | None = None
         self.mark_all = False
+        self.dropped: list[int] = []
 
     def joined(self, proxy: int, blank: bool) -> None:
         self.proxies[proxy] = Proxy(blank)
@@ -92,6 +93,11 @@
         (self.shut.add if out else self.shut.discard)(node)
         self.turned.append(node)
 
+    def drop(self, node: int) -> None:
+        """Let back first; its number may be another's from the next round on."""
+        self.withdraw(node, False)
+        self.dropped.append(node)
+
     def admit(self, table: int, kinds: int, level: float, tries: int) -> None:
         every = table == our.ALL_TABLES
         levels = self.for_all if every else self._table(table).levels
@@ -121,6 +127,9 @@
                 yield proxy, tuple(parts)
         for one in self.proxies.values():
             one.fresh.clear()
+            for node in self.dropped:
+                one.shut.pop(node, None)
+        self.shut.difference_update(self.dropped)
         for table in self.tables.values():
             table.changed, table.relevelled, table.emptied = {}, set(), False
         self._forget_round()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -57,6 +57,9 @@
         self.said.append(("mark", mark))
         self.mark_now = mark
 
+    def drop(self, node):
+        self.said.append((f"drop n{node}", 1))
+
     def probe(self, node):
         self.said.append((f"probe n{node}", 1))
 
