--- a/oatcart/net/codec.py
+++ b/oatcart/net/codec.py
@@ -1,6 +1,7 @@
 """The protocol's messages and our arrivals and parts. The wire's names stand here and nowhere else."""
 
 from collections.abc import Iterable, Sequence
+from ipaddress import IPv4Address
 from typing import NamedTuple
 
 import orjson
@@ -36,9 +37,9 @@
     ('127.0.0.1', 5000)
     """
     host, _, port = host_port.rpartition(":")
-    if not host or not 0 <= int(port) < 65536:
+    if not 0 <= int(port) < 65536:
         raise ValueError(f"{host_port!r} is not host:port")
-    return host, int(port)
+    return str(IPv4Address(host)), int(port)  # a name would have to be looked up, and all else would wait for that
 
 
 def parsed(message: memoryview) -> dict:
