--- a/oatcart/net/codec.py
+++ b/oatcart/net/codec.py
@@ -15,7 +15,7 @@
 _STATES = {"SERVING": our.READY, "DRAINING": our.DRAINING, "DELETED": our.GONE}
 _UNFIT = (KeyError, TypeError, ValueError, AttributeError, OverflowError)  # raised over what does not fit
 PING, PONG = ("ping",), b'{"msg":"pong"}\n'
-COUNT_MOST = 10 ** 7  # reqs of one sum, proxies, revisions' steps: more than a fleet meets in any window
+COUNT_MOST = 10 ** 7  # reqs of one sum or a second, proxies, marks: more than a fleet meets in any window
 ID_MOST = 256  # letters of a node's id, as kept
 NAME_SHOWN = 80  # letters of what does not fit, in the log
 ENTRY_SHOWN = 300  # letters of a node's entry that does not fit
@@ -94,7 +94,7 @@
         del self.places[self.nodes[place]]
         self.freed.append(place)
 
-    def arrival(self, line: memoryview) -> tuple | None:
+    def arrival(self, line: memoryview) -> tuple:
         """A message as the module is told of it, PING, or ("collector", its zone). All of it is checked here:
         one with a spoilt field costs itself alone, and what only such a message names gets no number."""
         table = parsed(line)
--- a/oatcart/net/door.py
+++ b/oatcart/net/door.py
@@ -28,7 +28,7 @@
         self.limit(descriptors)
         self.lives: dict[Stream, Task] = {}  # of all connections
         self.strangers: dict[Stream, None] = {}  # those that have not said who they are, oldest first
-        self.collectors: dict[str, list[Stream]] = {}  # by zone, oldest first
+        self.collectors: dict[Stream, str] = {}  # their zones, oldest first
 
     def limit(self, descriptors: int) -> None:
         self.loop.open_most = max(1, descriptors - KEPT_BACK)
@@ -79,7 +79,8 @@
                 who = f"collector of {told[1]}"
                 del self.strangers[stream]
                 stream.widen(REPORTS_ROOM)
-                self._keep_newest(self.collectors.setdefault(told[1], []), stream)
+                self.collectors[stream] = told[1]
+                self._keep_newest(told[1])
                 yield from collector.live(stream, self.codec, self.rounds, self._skipped)
             elif told[0] == "joined":
                 who = f"proxy {told[1]}"
@@ -91,15 +92,12 @@
         except Ended as ended:
             self.log.say("door", f"{who} gone: {ended}")
         finally:
-            self.strangers.pop(stream, None)
-            for streams in self.collectors.values():
-                if stream in streams:
-                    streams.remove(stream)
-            self.lives.pop(stream, None)
+            for kept in self.strangers, self.collectors, self.lives:
+                kept.pop(stream, None)
             stream.close()
 
-    def _keep_newest(self, streams: list[Stream], stream: Stream) -> None:
-        streams.append(stream)
+    def _keep_newest(self, zone: str) -> None:
+        streams = [stream for stream, its in self.collectors.items() if its == zone]
         if len(streams) > COLLECTORS_MOST:
             self._end(streams[0])
 
--- a/oatcart/net/stream.py
+++ b/oatcart/net/stream.py
@@ -60,11 +60,11 @@
 
     def _fill(self, until: float) -> Generator[Wait, bool, int]:
         self._make_room()
-        first, self.fresh = self.fresh, False
         while True:
-            if not first and not (yield Wait(self.fd, IN, until)):
+            if self.fresh:
+                self.fresh = False
+            elif not (yield Wait(self.fd, IN, until)):
                 raise Ended(Ending.SILENT)
-            first = False
             try:
                 size = self.sock.recv_into(self.view[self.end:])
             except BlockingIOError:
--- a/oatcart/net/talk.py
+++ b/oatcart/net/talk.py
@@ -21,5 +21,5 @@
             continue
         if told == PING:
             stream.write(PONG)
-        elif told:
+        else:
             return told
--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -290,7 +290,7 @@
 
     def take_applied(self, proxy: int, mark: int, took: float) -> None:
         for table in self.tables.values():
-            if (mark - table.mark) % 0x10000 < 0x8000:
+            if (mark - table.mark) % our.MARKS < our.MARKS // 2:
                 table.waiting.discard(proxy)
 
     def take_came(self, proxy: int, kind: int, count: int, errored: int, over: float) -> None:
@@ -375,8 +375,8 @@
         over = [at for at, node in self.nodes.items() if LONG_AGO < node.turned_at < self.now - KEPT_GONE
                 and node.state == our.GONE and not any(at in one.lines for one in self.tables.values())]
         due = any(self.nodes[at].turned_at < self.now - 2 * KEPT_GONE for at in over)
-        bound = all(proxy.bound for proxy in self.proxies.values())  # tables of others may hold it
-        for at in over[:self.channel.claim(self.proxies, len(over), RETURNS_PART, 1) if due and bound else 0]:
+        due = due and all(proxy.bound for proxy in self.proxies.values())  # tables of others may hold it
+        for at in over[:self.channel.claim(self.proxies, len(over), RETURNS_PART, 1) if due else 0]:
             self.orders.drop(at)
             del self.nodes[at]
 
@@ -473,7 +473,7 @@
         table.lines = {node: weight for node, weight in (table.lines | sent).items() if weight}
         if sent and table.proxies:
             if self.marked_at < self.now:
-                self.mark, self.marked_at = (self.mark + 1) % 0x10000, self.now
+                self.mark, self.marked_at = (self.mark + 1) % our.MARKS, self.now
                 self.orders.ask_ack(self.mark, False)
             table.mark, table.waiting, table.changed_at = self.mark, set(table.proxies), self.now
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -49,10 +49,9 @@
         self.rounds.start(self.round, watcher, prober)
         self.door = Door(self.loop, log, self.codec, self.rounds, int(KEPT_BACK + cfg.get("room", 100)))
         self.listener = self.door.listen(("127.0.0.1", 0))
-
         self.woken, self.waker = socket.socketpair()
         self.woken.setblocking(False)
-        self.discovery, self.closed = self.desk.getsockname(), []
+        self.discovery, self.closed = desk, []
         self.loop.spawn(reloads(self.loop, log, self.woken, self.reload))
 
     def open_desk(self):
