xDS front: Envoy and gRPC clients served from the conductor's own tables

Need: installations that front their servers with Envoy or gRPC clients keep a second roll by hand. Change: oatcart/xds holds the mapping of tables to clusters and endpoints, versions by content, push decisions a line (one in flight, drains overtake, refusals kept), limits, load reports, and the gRPC transport; the epoll loop turns inside asyncio. A conductor's parts are assembled in net/start.py, so that the platform's process and this one share them; the platform's imports nothing new.

--- a/oatcart/__main__.py
+++ b/oatcart/__main__.py
@@ -7,82 +7,12 @@
     signal.signal(_signal, lambda *_: os._exit(0))  # at once: nothing here outlives the process
 signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the configuration is read there is nothing to read again
 
-import json
-import socket
 import sys
-import time
-import traceback
-from collections.abc import Callable, Mapping
 
-from oatcart.handover import seconds, start_records
-from oatcart.net import codec as wire
-from oatcart.net.conductor import Rounds
-from oatcart.net.door import Door
-from oatcart.net.ending import Ended
-from oatcart.net.log import Log
-from oatcart.net.loop import Loop
-from oatcart.net.probe import Prober
-from oatcart.net.reload import Unusable, reloads, wake_pair
-from oatcart.net.roll import Watcher
-from oatcart.policy import Conductor
+from oatcart.net.reload import Unusable, wake_pair
+from oatcart.net.start import assemble, configuration, read
 
 UNUSABLE = 2  # exit code where the configuration cannot be used
-AT_START = "name", "listen", "settings"  # what is taken from the configuration once
-WATCH_PART = 0.5  # of the time without a call after which news counts as told: a lost watch shows well within it
-
-
-def read(cfg: Mapping, name: str, turn: Callable) -> object:
-    try:
-        return turn(cfg[name])
-    except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError, Ended, OSError) as error:
-        raise Unusable(f"{name} cannot be used: {error!r}") from None
-
-
-def configuration(path: str) -> dict:
-    with open(path, encoding="utf-8") as file:
-        return dict(json.load(file))
-
-
-def descriptors(limits: Mapping) -> int:
-    return int(limits["sockets"])
-
-
-def assemble(cfg: dict, woken: socket.socket) -> tuple[Loop, Rounds]:
-    """All parts, each with its own few settings; the module has had its first round when this returns."""
-    settings = read(cfg, "settings", dict)
-    records = read(cfg, "settings", start_records)
-    loop = Loop(time.monotonic, lambda error: log.say("task", "".join(traceback.format_exception(error))))
-    log = Log(loop.clock)
-    codec = read(cfg, "settings", lambda told: wire.Codec(
-        [grade["name"] for grade in told["grades"]], told["zones"], told["specifics"]["proxyCount"]))
-    rounds = Rounds(loop, log, codec, seconds(settings, "quantum"), time.time())
-    allowed, reports = settings.get("policyLimits") or {}, settings.get("report") or {}
-    watcher = Watcher(loop, codec, log, read(cfg, "discovery", wire.address),
-                      WATCH_PART * seconds(settings.get("rules") or {}, "askWithin", 10.0), rounds.arrive)
-    prober = Prober(loop, reports.get("how", "off") != "off", seconds(allowed, "connectTimeout", 0.25),
-                    watcher.addresses, rounds.arrive)
-    seed = read(cfg, "seed", lambda text: int(text, 16))
-    rounds.start(Conductor(seed=seed, **records).round, watcher, prober)
-    door = Door(loop, log, codec, rounds, read(cfg, "limits", descriptors))
-    if "known" in cfg:
-        watcher.take(read(cfg, "known", codec.roll))
-    rounds.turn()  # from here on it can decide, so whoever asks may be answered
-    listener = read(cfg, "listen", lambda address: door.listen(wire.address(address)))
-    log.say("start", "{} listens at {}:{}, {} nodes known".format(
-        cfg.get("name"), *listener.getsockname(), len(codec.nodes)))
-
-    def take() -> str:
-        """What a running conductor takes from a new configuration; nothing of it unless all can be used."""
-        new = read(os.environ, "EDGE_CONFIG", configuration)
-        discovery, most = read(new, "discovery", wire.address), read(new, "limits", descriptors)
-        door.limit(most)
-        watcher.move(discovery)
-        kept = [name for name in AT_START if new.get(name) != cfg.get(name)]
-        return "discovery at {}:{}, {} descriptors{}".format(
-            *discovery, most, f"; only a restart changes {', '.join(kept)}" if kept else "")
-
-    loop.spawn(reloads(loop, log, woken, take))
-    return loop, rounds
 
 
 def main() -> int:
--- a/oatcart/net/conductor.py
+++ b/oatcart/net/conductor.py
@@ -11,7 +11,7 @@
 from oatcart.net.probe import Prober
 from oatcart.net.roll import Watcher
 from oatcart.net.stream import Stream
-from oatcart.tables import Tables
+from oatcart.tables import Part, Tables
 
 FAILED_WAKE = 0.25  # s until the next round after one that failed and may not have asked for a wake
 TELL_EVERY = 30.0  # s between the log's lines on how this process keeps up
@@ -114,9 +114,12 @@
     def _tell(self) -> None:
         encoded: dict[tuple, bytes] = {}
         for proxy, parts in self.messages():
-            if parts not in encoded:
-                encoded[parts] = self.codec.message(parts)
-            try:
-                self.streams[proxy].write(encoded[parts])
-            except Ended as ended:
-                self.log.say("stream", f"proxy {proxy} cannot be told: {ended}")
+            self._tell_one(proxy, parts, encoded)
+
+    def _tell_one(self, proxy: int, parts: tuple[Part, ...], encoded: dict[tuple, bytes]) -> None:
+        if parts not in encoded:
+            encoded[parts] = self.codec.message(parts)
+        try:
+            self.streams[proxy].write(encoded[parts])
+        except Ended as ended:
+            self.log.say("stream", f"proxy {proxy} cannot be told: {ended}")
--- a/oatcart/net/loop.py
+++ b/oatcart/net/loop.py
@@ -63,10 +63,13 @@
         for event in (IN, OUT):
             self.waiting.pop((fd, event), None)
 
+    def due_in(self) -> float:
+        """Seconds until the next timer; below 0 where it is late."""
+        return self.timers[0][0] - self.clock() if self.timers else inf
+
     def turn(self, longest: float = inf) -> None:
         """Wait for what comes next, `longest` at most, and run all that is due."""
-        due = self.timers[0][0] - self.clock() if self.timers else inf
-        wait = max(0.0, min(due, longest))
+        wait = max(0.0, min(self.due_in(), longest))
         events = self.poll.poll(None if wait == inf else wait, EVENTS_MOST)
         self.now = self.clock()
         for fd, mask in events:
--- a/oatcart/tables.py
+++ b/oatcart/tables.py
@@ -156,13 +156,21 @@
         parts += self._levels(table, [kind for kind in _places(kinds) if kind in levels])
         return parts, [node for node, weight in lines.items() if weight > 0]
 
+    def _level(self, table: Table, kind: int) -> tuple[float, int]:
+        level, tries = table.levels.get(kind) or self.for_all[kind]
+        return min(level, self.for_all.get(kind, (level,))[0]), tries
+
+    def standing(self, at: int, kind: int) -> tuple[float, int] | None:
+        """The level and the way of trying again that hold for a kind in a table; None where none was ordered."""
+        table = self._table(at)
+        return self._level(table, kind) if kind in table.levels or kind in self.for_all else None
+
     def _levels(self, table: Table, kinds: list[int]) -> list[Part]:
         """Kinds of the same level share a part; of the table's and everybody's, the lower level holds."""
         groups: dict[tuple[float, int], int] = {}
         for kind in kinds:
-            level, tries = table.levels.get(kind) or self.for_all[kind]
-            level = min(level, self.for_all.get(kind, (level,))[0])
-            groups[level, tries] = groups.get((level, tries), 0) | 1 << kind
+            at = self._level(table, kind)
+            groups[at] = groups.get(at, 0) | 1 << kind
         return [Part(self._named(bits), level=level, tries=tries) for (level, tries), bits in groups.items()]
 
     def _with_turned(self, proxy: Proxy, met: list[int], parts: list[Part]) -> list[Part]:
--- /dev/null
+++ b/oatcart/xds/__main__.py
@@ -0,0 +1,39 @@
+"""`python -m oatcart.xds deploy/xds.yaml`: a conductor, configured as ever by `EDGE_CONFIG`, with the xDS front."""
+
+import os
+import signal
+
+for _signal in signal.SIGTERM, signal.SIGINT:  # as in `oatcart.__main__`
+    signal.signal(_signal, lambda *_: os._exit(0))
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import argparse
+import asyncio
+import sys
+
+from oatcart.net.reload import Unusable
+from oatcart.net.start import configuration, read
+from oatcart.xds.configuration import Wrong
+from oatcart.xds.configuration import read as read_xds
+from oatcart.xds.serve import UNUSABLE, run
+
+
+def main(words: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="oatcart.xds", description=__doc__)
+    parser.add_argument("file", help="the front's settings, YAML")
+    parser.add_argument("--check", action="store_true", help="read and check the files, start nothing")
+    told = parser.parse_args(words)
+    try:
+        xds = read_xds(told.file)
+        cfg = read(os.environ, "EDGE_CONFIG", configuration)
+    except (Wrong, Unusable) as error:
+        print(error, file=sys.stderr)
+        return UNUSABLE
+    if told.check:
+        print(f"{told.file} can be used")
+        return 0
+    return asyncio.run(run(cfg, xds))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/oatcart/xds/front.py
@@ -0,0 +1,427 @@
+"""The xDS front without its transport: who is a client, what each is sent, what the module is told. Free of I/O.
+
+A client is known by its node's id. Once it asks for what depends on tables it is a proxy to the module, which binds it
+to the tables of its zone as it binds a sidecar; until it is bound it is sent none of them. Marks are applied once all
+that the mark stands for is acknowledged on all its streams.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from itertools import count
+from math import inf
+from typing import NamedTuple, Protocol
+
+from oatcart import interface as our
+from oatcart.tables import Part, Tables
+from oatcart.xds import view
+from oatcart.xds.limits import JOINED, Budget, Gate, Refused, check_names, rank
+from oatcart.xds.loads import Books, ClusterReport
+from oatcart.xds.pushes import Line, Push, Refusal
+from oatcart.xds.shelf import Shelf, digest
+
+CLUSTER, ENDPOINTS, MEMBER, LISTENER, ROUTE = "cluster", "endpoints", "member", "listener", "route"
+ORDER = (CLUSTER, ENDPOINTS, MEMBER, LISTENER, ROUTE)  # makes go in this order, breaks against it
+WHOLE_TYPES = (CLUSTER, LISTENER)  # the state-of-the-world protocol has each push hold all of them
+BY_TABLE = (ENDPOINTS, MEMBER, ROUTE)  # depend on the client's tables
+MARKS_OWED = 8  # marks of one client that are not acknowledged; the module waits for none so long
+REFUSALS_KEPT = 8  # of a client, for the operator
+NOTHING = Shelf()  # of a client that is not bound yet
+
+
+class Host(Protocol):
+    """Where clients come and go as proxies, and what the module is told."""
+
+    def joined(self, proxy: int, blank: bool) -> None: ...
+
+    def left(self, proxy: int) -> None: ...
+
+    def arrive(self, arrival: tuple) -> None: ...
+
+
+class Node(NamedTuple):
+    """Who a client says it is."""
+
+    id: str
+    zone: str
+    shape: str
+
+
+class Ask(NamedTuple):
+    """A discovery request of either protocol. `names`: all names, or those newly subscribed."""
+
+    type: str
+    names: tuple[str, ...]
+    unsubscribe: tuple[str, ...] = ()
+    brought: Mapping[str, str] = {}
+    nonce: str = ""
+    refusal: str | None = None
+    node: Node | None = None
+
+
+@dataclass(eq=False, slots=True)
+class Stream:
+    key: int
+    delta: bool
+    only: str | None  # the one type it is for; None: all of them on one stream
+    client: "Client | None" = None
+    lines: dict[str, Line] = field(default_factory=dict)
+    room: bool = True  # the transport takes another push
+    primed: bool = False  # it was sent endpoints
+    returning: bool = False
+
+
+@dataclass(eq=False, slots=True)
+class Owed:
+    """A mark that a client has yet to acknowledge: by stream and type, the seqs that are to be held."""
+
+    mark: int
+    at: float
+    needs: dict[tuple[Stream, str], dict[str, int]]
+
+
+@dataclass(eq=False, slots=True)
+class Client:
+    id: str
+    proxy: int
+    zone: int
+    shape: str
+    rates: list[float]  # reqs a second by kind, as its load reports have it
+    streams: list[Stream] = field(default_factory=list)  # oldest first
+    joined: bool = False
+    bound: bool = False
+    told: int | None = None  # a mark of this round
+    owed: deque = field(default_factory=lambda: deque(maxlen=MARKS_OWED))
+    refusals: deque = field(default_factory=lambda: deque(maxlen=REFUSALS_KEPT))
+    acked_at: float | None = None
+
+
+class Front:
+    """`first`: the number of the first xDS client as a proxy. `life`: begins nonces, another in each life."""
+
+    def __init__(self, host: Host, kinds: Sequence[tuple[str, our.ReqKind]], zones: Sequence[str], first: int,
+                 life: str, gate: Gate, budget: Budget, by_rate: bool, home: str = "",
+                 say: Callable[[str, str], None] = lambda kind, text: None) -> None:
+        self.host, self.kinds, self.zones = host, list(kinds), {name: at for at, name in enumerate(zones)}
+        self.zone_names, self.first, self.life = list(zones), first, life
+        self.gate, self.budget, self.by_rate, self.home, self.say = gate, budget, by_rate, home, say
+        self.clients: dict[str, Client] = {}
+        self.by_proxy: dict[int, Client] = {}
+        self.free: list[int] = []
+        self.known: OrderedDict[str, None] = OrderedDict()  # ids of clients that have left, newest last
+        self.keys = count(1)
+        self.shelves: dict[tuple, Shelf] = {}
+        self.maps: dict[int, tuple[int, ...]] = {}  # by zone: the table of each kind
+        self.lined: dict[int, set[int]] = {}  # by table: nodes that had a line at the last look, or are leaving
+        self.shown: dict[int, tuple[view.Endpoint, ...]] = {}  # by table, as last published
+        self.drops: dict[tuple[int, int], int] = {}  # by zone and kind
+        self.dirty: dict[Stream, None] = {}
+        self.again = False  # the budget left someone waiting
+        for kind, _ in self.kinds:
+            self._shelf(LISTENER).put(0.0, kind, view.Listener(kind))
+            for shape in view.WHOLE, view.EACH, view.SPREAD:
+                self._shelf(CLUSTER, shape).put(0.0, kind, view.Cluster(kind, shape))
+
+    def _shelf(self, *key: object) -> Shelf:
+        return self.shelves.setdefault(key, Shelf())
+
+    def shelf(self, client: Client, kind: str) -> Shelf:
+        """What a client may see of a type."""
+        if kind == LISTENER:
+            return self._shelf(LISTENER)
+        if kind == CLUSTER:
+            return self._shelf(CLUSTER, client.shape)
+        if not client.bound:
+            return NOTHING
+        return self._shelf(kind, client.zone, client.shape) if kind == ENDPOINTS else self._shelf(kind, client.zone)
+
+    # -- streams and what comes on them
+
+    def open(self, delta: bool, only: str | None = None) -> Stream:
+        return Stream(next(self.keys), delta, only)
+
+    def ask(self, now: float, stream: Stream, ask: Ask) -> list[Stream]:
+        """Take a request; raises Refused, which ends the stream. Hands back streams that end for this one."""
+        if stream.only is not None and ask.type != stream.only:
+            raise Refused("INVALID_ARGUMENT", f"this stream is for {stream.only} alone")
+        check_names((*ask.names, *ask.unsubscribe, *ask.brought))
+        ended = self._admit(stream, ask)
+        line = stream.lines.get(ask.type)
+        if line is None:
+            whole = not stream.delta and ask.type in WHOLE_TYPES
+            line = Line(stream.delta, whole, f"{self.life}.{stream.key}.{ask.type[0]}", ask.type in WHOLE_TYPES)
+        self.gate.wanted(sum(len(one.wanted) for one in stream.lines.values()) + len(ask.names)
+                         - (len(line.wanted) if not stream.delta else 0))
+        stream.lines[ask.type] = line
+        stream.returning = stream.returning or bool(ask.brought)
+        if stream.delta:
+            said = line.change(ask.names, ask.unsubscribe, ask.brought, ask.nonce, ask.refusal)
+        else:
+            said = line.ask(ask.names, ask.nonce, ask.refusal)
+        if isinstance(said, Refusal):
+            self._refused(now, stream.client, ask.type, said)
+        if ask.type in BY_TABLE:
+            self._join(stream.client)
+        if ask.nonce and said is not False:
+            stream.client.acked_at = now
+            self._settle(now, stream.client)
+        self.dirty[stream] = None
+        return ended
+
+    def _admit(self, stream: Stream, ask: Ask) -> list[Stream]:
+        if stream.client is not None:
+            return []
+        node = ask.node
+        if node is None or not node.id or not node.id.isprintable():
+            raise Refused("INVALID_ARGUMENT", "node.id: the first request of a stream has to say who asks")
+        check_names([node.id])
+        zone = node.zone or self.home
+        if zone not in self.zones:
+            raise Refused("INVALID_ARGUMENT",
+                          f"node.locality.zone: {zone[:80]!r} is none of {', '.join(self.zone_names)}")
+        client = self.clients.get(node.id)
+        if client is None:
+            self.gate.client(len(self.clients), sum(not one.bound for one in self.clients.values()))
+            proxy = self.free.pop() if self.free else self.first + len(self.clients)
+            client = Client(node.id, proxy, self.zones[zone], node.shape, [0.0] * len(self.kinds))
+            self.clients[node.id] = self.by_proxy[proxy] = client
+            stream.returning = node.id in self.known
+        elif (client.zone, client.shape) != (self.zones[zone], node.shape):
+            raise Refused("FAILED_PRECONDITION", f"{node.id[:80]!r} is joined from {self.zone_names[client.zone]} "
+                          f"as {client.shape}: an id is one client's")
+        stream.client = client
+        client.streams.append(stream)
+        return self.gate.makes_way(client.streams)
+
+    def _join(self, client: Client) -> None:
+        if not client.joined:
+            client.joined = True
+            self.host.joined(client.proxy, True)
+            self.host.arrive(("joined", client.proxy, client.zone, 0.0, True))
+
+    def close(self, now: float, stream: Stream) -> None:
+        """A stream is over; with its last one a client has left."""
+        self.dirty.pop(stream, None)
+        client, stream.client = stream.client, None
+        if client is None or stream not in client.streams:
+            return
+        client.streams.remove(stream)
+        if client.streams:
+            self._settle(now, client)
+            return
+        del self.clients[client.id], self.by_proxy[client.proxy]
+        self.free.append(client.proxy)
+        self.known[client.id] = None
+        self.known.move_to_end(client.id)
+        while len(self.known) > self.gate.clients:
+            self.known.popitem(last=False)
+        if client.joined:
+            self.host.left(client.proxy)
+            self.host.arrive(("left", client.proxy))
+
+    def written(self, stream: Stream) -> None:
+        """The transport has taken all that it was handed."""
+        stream.room = True
+        if stream.client is not None:
+            self.dirty[stream] = None
+
+    def _refused(self, now: float, client: Client, kind: str, refusal: Refusal) -> None:
+        client.refusals.append((now, kind, refusal))
+        tried = f"; tried again alone: {', '.join(refusal.alone)}" if refusal.alone else ""
+        self.say("refused", f"{client.id} refuses {kind} {', '.join(refusal.refused) or '(unnamed)'}: "
+                 f"{refusal.words}{tried}")
+
+    def report(self, node: str, books: Books, reports: Iterable[ClusterReport],
+               place: Callable[[object], int | None], odd: Callable[[str], None]) -> None:
+        """A load report of a client; of one that is not joined it says nothing, as nobody knows its zone."""
+        client = self.clients.get(node)
+        if client is None or not client.joined:
+            return
+        kinds = {name: at for at, (name, _) in enumerate(self.kinds)}
+        for told in books.read(reports, client.proxy, client.zone, kinds, place, odd):
+            if told[0] == "came":
+                _, _, kind, came, _, over = told
+                client.rates[kind] += (came / over - client.rates[kind]) / 2
+            self.host.arrive(told)
+
+    # -- what the module decided
+
+    def told(self, proxy: int, parts: tuple[Part, ...]) -> None:
+        """A proxy of ours is concerned by this round's orders; what they are is read off the tables."""
+        client = self.by_proxy.get(proxy)
+        if client is not None and parts and parts[-1].mark is not None:
+            client.told = parts[-1].mark
+
+    def publish(self, now: float, tables: Tables, roster: view.Roster,
+                named: Callable[[int], tuple[str, str, int] | None]) -> None:
+        """After a round: the tables as they stand become resources, marks are noted. `named`: a node's name, host and
+        port, None where it has no address yet."""
+        newly = []
+        for client in self.clients.values():
+            if client.joined and not client.bound and client.proxy in tables.proxies:
+                at = self._bound(tables.proxies[client.proxy].bound)
+                if at is not None:
+                    self.maps[client.zone], client.bound = at, True
+                    newly.append(client)
+        found = {at: self._endpoints(at, tables, roster, named) for at in sorted(set(sum(self.maps.values(), ())))}
+        news = False
+        for zone, tables_by_kind in self.maps.items():
+            news = self._put_zone(now, zone, tables_by_kind, tables, found) or news
+        self.shown = found
+        for client in newly:
+            for stream in client.streams:
+                self.dirty[stream] = None
+                for kind, line in stream.lines.items():
+                    line.reset = line.reset or kind in BY_TABLE
+        if news:
+            self.dirty |= dict.fromkeys(stream for client in self.clients.values() for stream in client.streams)
+        for client in self.clients.values():
+            if client.told is not None:
+                self._owe(now, client)
+
+    def _bound(self, bound: Mapping[int, int]) -> tuple[int, ...] | None:
+        """The table of each kind, once there is one for all."""
+        tables = tuple(next((at for at, kinds in bound.items() if kinds >> kind & 1), -1)
+                       for kind in range(len(self.kinds)))
+        return tables if -1 not in tables else None
+
+    def _endpoints(self, at: int, tables: Tables, roster: view.Roster, named: Callable) -> tuple[view.Endpoint, ...]:
+        lines = tables.tables[at].lines
+        leaving = view.leaving(self.lined.get(at, ()), lines, roster)
+        self.lined[at] = leaving | lines.keys()
+        found = []
+        for place, (weight, health) in view.seen(lines, leaving, tables.shut, roster).items():
+            if (known := named(place)) and place in roster.nodes:
+                found.append(view.Endpoint(*known, self.zone_names[roster.nodes[place].zone], weight, health))
+        return view.distinct(found)
+
+    def _put_zone(self, now: float, zone: int, at: tuple[int, ...], tables: Tables, found: dict) -> bool:
+        news = False
+        for kind, (name, req) in enumerate(self.kinds):
+            level, tries = tables.standing(at[kind], kind) or (inf if self.by_rate else 1.0, our.AFTER_PROOF)
+            drop = view.dropped(level, self.by_rate, self._rate(zone, kind))
+            before, self.drops[zone, kind] = self.drops.get((zone, kind), 0), drop
+            endpoints, first = found[at[kind]], self.kinds[at.index(at[kind])][0]
+            urgent = view.sinks(self.shown.get(at[kind], ()), endpoints) or drop > before
+            picks = view.picks(endpoints)
+            for shape in view.WHOLE, view.SPREAD:
+                body = view.Assignment(name, shape, drop, endpoints)
+                news |= self._shelf(ENDPOINTS, zone, shape).put(now, name, body, picks, urgent)
+            begins = tuple((one, view.collection(self.zone_names[zone], first, one)) for one in self.zone_names)
+            body = view.Assignment(name, view.EACH, drop, (), begins)
+            news |= self._shelf(ENDPOINTS, zone, view.EACH).put(now, name, body, (), drop > before)
+            news |= self._shelf(ROUTE, zone).put(now, name, view.route(name, req, tries))
+        return self._put_members(now, zone, at, found) or news
+
+    def _put_members(self, now: float, zone: int, at: tuple[int, ...], found: dict) -> bool:
+        shelf, news, names = self._shelf(MEMBER, zone), False, set()
+        shelf.ready = True
+        for table in dict.fromkeys(at):
+            first, before = self.kinds[at.index(table)][0], {one.name: one for one in self.shown.get(table, ())}
+            for one in found[table]:
+                name = view.collection(self.zone_names[zone], first, one.zone) + one.name
+                names.add(name)
+                healthy = {one.name} if one.health == view.HEALTHY else ()
+                urgent = one.name in before and view.sinks([before[one.name]], [one])
+                news |= shelf.put(now, name, view.Member(one), healthy, urgent)
+        return shelf.keep_only(names) or news
+
+    def _rate(self, zone: int, kind: int) -> float:
+        rates = [client.rates[kind] for client in self.clients.values() if client.zone == zone and client.bound]
+        return sum(rates) / len(rates) if rates else 0.0
+
+    # -- marks
+
+    def _owe(self, now: float, client: Client) -> None:
+        mark, client.told = client.told, None
+        needs = {(stream, kind): due for stream in client.streams for kind, line in stream.lines.items()
+                 if kind in BY_TABLE and (due := line.behind(self.shelf(client, kind)))}
+        client.owed.append(Owed(mark, now, needs))
+        self._settle(now, client)
+
+    def _settle(self, now: float, client: Client) -> None:
+        """Tell the module of the newest mark that all streams now hold."""
+        done = None
+        for owed in list(client.owed):
+            for (stream, kind), need in list(owed.needs.items()):
+                line = stream.lines.get(kind)
+                if stream.client is not client or line is None:
+                    del owed.needs[stream, kind]
+                    continue
+                for name in [name for name, seq in need.items()
+                             if line.held.get(name, -1) >= seq or not line.awaits(name)]:
+                    del need[name]
+                if not need:
+                    del owed.needs[stream, kind]
+            if not owed.needs:
+                done = owed
+                client.owed.remove(owed)
+        if done is not None:
+            while client.owed and (done.mark - client.owed[0].mark) % our.MARKS < our.MARKS // 2:
+                client.owed.popleft()  # what came later is held, so what came before is
+            self.host.arrive(("applied", client.proxy, done.mark, now - done.at))
+
+    # -- what goes out
+
+    def dispatch(self, now: float) -> list[tuple[Stream, list[tuple[str, Push]]]]:
+        """What to send now, by stream, those first for whom it cannot wait; each counts as sent, and its stream has no
+        room until `written`. `again` tells that the budget left someone waiting for `budget.wait()` seconds."""
+        self.budget.turn(now)
+        waiting, out, self.again = [], [], False
+        for stream in self.dirty:
+            if stream.room and stream.client is not None:
+                shelves = {kind: self.shelf(stream.client, kind) for kind in stream.lines}
+                if any(line.waits(shelves[kind]) for kind, line in stream.lines.items()):
+                    urgent = any(line.urgent(shelves[kind]) for kind, line in stream.lines.items())
+                    waiting.append((rank(urgent, stream.primed, stream.returning), stream.key, stream, shelves))
+        self.dirty = {}
+        for place, _, stream, shelves in sorted(waiting, key=lambda one: one[:2]):
+            pushes = []
+            for kind in ORDER:
+                line = stream.lines.get(kind)
+                if line is None:
+                    continue
+                if not self.budget.take(place < JOINED):
+                    self.again = True
+                    self.dirty[stream] = None
+                    break
+                push = line.due(shelves[kind], lambda name: self._may_add(stream, shelves, kind, name),
+                                lambda name: self._may_remove(stream, shelves, kind, name))
+                if push is None:
+                    self.budget.give()
+                else:
+                    pushes.append((kind, push))
+                    stream.primed = stream.primed or kind == ENDPOINTS
+            if pushes:
+                stream.room = False
+                out.append((stream, pushes))
+        return out
+
+    def _may_add(self, stream: Stream, shelves: dict, kind: str, name: str) -> bool:
+        """A client that asks for a cluster gets what builds on it once it has taken the cluster."""
+        clusters = stream.lines.get(CLUSTER)
+        if kind in (CLUSTER, MEMBER) or clusters is None or not clusters.awaits(name):
+            return True
+        return name not in shelves[CLUSTER].items or name in clusters.held
+
+    def _may_remove(self, stream: Stream, shelves: dict, kind: str, name: str) -> bool:
+        """What builds on a cluster goes before it, as far as the incremental protocol can tell that."""
+        later = ORDER[ORDER.index(kind) + 1:] if kind in (CLUSTER, ENDPOINTS) else ()
+        return not any(line.delta and name in line.held and name not in shelves[one].items
+                       for one in later if (line := stream.lines.get(one)) is not None)
+
+    # -- for operators
+
+    def status(self, now: float) -> list[dict]:
+        """Each client as an operator would ask for it."""
+        return [{"id": one.id, "proxy": one.proxy, "zone": self.zone_names[one.zone], "shape": one.shape,
+                 "streams": len(one.streams), "bound": one.bound,
+                 "acked_s_ago": None if one.acked_at is None else round(now - one.acked_at, 3),
+                 "in_flight": sum(len(line.flights) for stream in one.streams for line in stream.lines.values()),
+                 "refused": [f"{kind}: {refusal.words}" for _, kind, refusal in one.refusals]}
+                for one in self.clients.values()]
+
+
+def new_life(unix: float, seed: int) -> str:
+    """What begins the nonces of a life: another in each, also where two begin in the same second."""
+    return digest(unix, seed)[:8]
--- /dev/null
+++ b/oatcart/xds/rounds.py
@@ -0,0 +1,71 @@
+"""Rounds of a conductor that serves xDS clients beside its sidecars: the same orders, told twice."""
+
+from collections.abc import Callable
+
+from oatcart.net.conductor import Rounds
+from oatcart.tables import Part
+from oatcart.xds.front import Front
+from oatcart.xds.view import Roster
+
+
+class XdsRounds(Rounds):
+    """`published` is called after a round that may have changed what clients see."""
+
+    def __init__(self, *args: object) -> None:
+        super().__init__(*args)
+        self.roster, self.gone, self.touched = Roster(), [], False
+        self.front: Front | None = None
+        self.published: Callable[[], None] = lambda: None
+
+    def serve(self, front: Front, published: Callable[[], None]) -> None:
+        self.front, self.published = front, published
+
+    def arrive(self, arrival: tuple) -> None:
+        if arrival[0] == "listed":
+            self.roster.take(arrival[1], arrival[2])
+            self.touched = True
+        super().arrive(arrival)
+
+    def line(self, table: int, node: int, weight: float) -> None:
+        self.touched = True
+        super().line(table, node, weight)
+
+    def blank(self, table: int) -> None:
+        self.touched = True
+        super().blank(table)
+
+    def bind(self, table: int, proxy: int, kinds: int) -> None:
+        self.touched = True
+        super().bind(table, proxy, kinds)
+
+    def withdraw(self, node: int, out: bool) -> None:
+        self.touched = True
+        super().withdraw(node, out)
+
+    def admit(self, table: int, kinds: int, level: float, tries: int) -> None:
+        self.touched = True
+        super().admit(table, kinds, level, tries)
+
+    def drop(self, node: int) -> None:
+        self.gone.append(node)
+        super().drop(node)
+
+    def named(self, place: int) -> tuple[str, str, int] | None:
+        at = self.watcher.addresses.get(place)
+        return (self.codec.nodes[place], *at) if at else None
+
+    def _tell_one(self, proxy: int, parts: tuple[Part, ...], encoded: dict[tuple, bytes]) -> None:
+        if self.front is not None and proxy in self.front.by_proxy:
+            self.front.told(proxy, parts)
+        else:
+            super()._tell_one(proxy, parts, encoded)
+
+    def _tell(self) -> None:
+        super()._tell()
+        if self.front is not None and self.touched:
+            self.touched = False
+            self.front.publish(self.loop.now, self, self.roster, self.named)
+            self.published()
+        for node in self.gone:
+            self.roster.drop(node)
+        self.gone = []
--- /dev/null
+++ b/oatcart/xds/serve.py
@@ -0,0 +1,74 @@
+"""A conductor with the xDS front: sidecars and xDS clients served at once, from the same decisions."""
+
+import asyncio
+import socket
+import sys
+import time
+
+from oatcart.handover import start_records
+from oatcart.net.loop import Loop
+from oatcart.net.reload import Unusable, wake_pair
+from oatcart.net.start import assemble
+from oatcart.xds.configuration import Xds
+from oatcart.xds.encode import Encoder
+from oatcart.xds.front import Front, new_life
+from oatcart.xds.limits import Budget, Gate
+from oatcart.xds.nested import Nested
+from oatcart.xds.rounds import XdsRounds
+from oatcart.xds.server import Server
+
+UNUSABLE = 2  # exit code where a configuration cannot be used
+
+
+class Conductor:
+    """A whole conductor in this process; `cfg` is what `EDGE_CONFIG` names, read; `woken` is readable
+    once it is to be read again."""
+
+    def __init__(self, cfg: dict, xds: Xds, woken: socket.socket) -> None:
+        self.xds = xds
+        self.loop, self.rounds = assemble(cfg, woken, XdsRounds)
+        records, codec = start_records(cfg["settings"]), self.rounds.codec
+        zones = sorted(codec.zones, key=codec.zones.get)
+        self.front = Front(
+            self.rounds, list(zip(codec.kind_names, records["kinds"], strict=True)), zones, codec.proxies,
+            new_life(time.time_ns(), int(cfg["seed"], 16)), Gate(xds.clients, xds.streams, xds.names, xds.pushes),
+            Budget(xds.pushes), records["admitting"] == "rate", xds.home_zone, self.rounds.log.say)
+        self.nested = Nested(self.loop, self.rounds)
+        self.encoder = Encoder()
+        self.server = Server(self.front, self.encoder, self.loop.clock, xds.unread_for, xds.report_every,
+                             xds.clients * xds.streams, self.place, self.rounds.log.say, self.nested.kick)
+
+    def place(self, at: object) -> int | None:
+        """A node's number by its name or by its host and port."""
+        if isinstance(at, str):
+            return self.rounds.codec.places.get(at)
+        return next((place for place, known in self.rounds.watcher.addresses.items() if known == at), None)
+
+    async def start(self) -> int:
+        """Serve; hands back the port of the xDS front."""
+        self.port = await self.server.start(self.xds.listen)
+        self.rounds.serve(self.front, self.server.soon)
+        self.rounds.log.say("start", f"xDS at port {self.port}")
+        self.nested.start()
+        return self.port
+
+    async def stop(self) -> None:
+        await self.server.stop()
+        self.nested.stop()
+        close(self.loop)
+
+
+def close(loop: Loop) -> None:
+    """Close what the epoll loop's tasks hold."""
+    for task in set(loop.waiting.values()):
+        loop.end(task)
+    loop.poll.close()
+
+
+async def run(cfg: dict, xds: Xds) -> int:
+    try:
+        await Conductor(cfg, xds, wake_pair()).start()
+    except (Unusable, RuntimeError) as error:
+        print(f"config: {error}", file=sys.stderr)
+        return UNUSABLE
+    return await asyncio.get_running_loop().create_future()  # a signal ends the process
--- /dev/null
+++ b/oatcart/xds/standin/channel.py
@@ -0,0 +1,48 @@
+"""gRPC's own xDS client in a process of its own: `python -m oatcart.xds.standin.channel ADDRESS ID ZONE`.
+
+It reads one command a line and answers each with a line of JSON: `call KIND N [KEY]` makes N calls over `xds:///KIND`
+and tells how many each node answered and how many ended with which status.
+"""
+
+import json
+import os
+import sys
+from collections import Counter
+
+import grpc
+
+from oatcart.xds.standin.nodes import METHOD, SERVICE
+
+CALL_WITHIN = 20.0  # s
+
+
+def bootstrap(address: str, id: str, zone: str) -> str:
+    """gRFC A27's bootstrap for one management server, without TLS."""
+    return json.dumps({
+        "xds_servers": [{"server_uri": address, "channel_creds": [{"type": "insecure"}],
+                         "server_features": ["xds_v3"]}],
+        "node": {"id": id, "locality": {"zone": zone}}})
+
+
+def calls(channel: grpc.Channel, count: int, key: str) -> dict:
+    run, found = channel.unary_unary(f"/{SERVICE}/{METHOD}"), Counter()
+    for at in range(count):
+        try:
+            found[run((key or str(at)).encode(), timeout=CALL_WITHIN, wait_for_ready=not key).decode()] += 1
+        except grpc.RpcError as error:
+            found[f"!{error.code().name}"] += 1
+    return found
+
+
+def main(address: str, id: str, zone: str) -> None:
+    os.environ["GRPC_XDS_BOOTSTRAP_CONFIG"] = bootstrap(address, id, zone)
+    channels: dict[str, grpc.Channel] = {}
+    for line in sys.stdin:
+        _, kind, count, *key = line.split()
+        if kind not in channels:
+            channels[kind] = grpc.insecure_channel(f"xds:///{kind}")
+        print(json.dumps(calls(channels[kind], int(count), "".join(key))), flush=True)
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
