--- a/oatcart/xds/front.py
+++ b/oatcart/xds/front.py
@@ -268,11 +268,7 @@
         for zone, tables_by_kind in self.maps.items():
             news = self._put_zone(now, zone, tables_by_kind, tables, found) or news
         self.shown = found
-        for client in newly:
-            for stream in client.streams:
-                self.dirty[stream] = None
-                for kind, line in stream.lines.items():
-                    line.reset = line.reset or kind in BY_TABLE
+        self.dirty |= dict.fromkeys(stream for client in newly for stream in client.streams)
         if news:
             self.dirty |= dict.fromkeys(stream for client in self.clients.values() for stream in client.streams)
         for client in self.clients.values():
--- /dev/null
+++ b/tests/xds/sim.py
@@ -0,0 +1,279 @@
+"""The front and the real decision module without I/O: a clock that is handed in, peers that keep their view.
+
+A peer is an xDS client as published: it takes what comes in order, and answers at once, late or with a refusal.
+"""
+
+from collections import deque
+
+from oatcart import interface as our
+from oatcart.policy import Conductor
+from oatcart.tables import Tables
+from oatcart.xds import view
+from oatcart.xds.front import CLUSTER, ENDPOINTS, MEMBER, ROUTE, Ask, Front, Node, new_life
+from oatcart.xds.limits import Budget, Gate
+from oatcart.xds.shelf import STEP_KEPT
+
+KINDS = [("lookup", our.ReqKind(1.0, 0.5, our.REPLAYABLE)), ("fee", our.ReqKind(3.0, 1.0, our.NON_REPLAYABLE))]
+ZONES = ["a", "b"]
+STEP = 0.25  # s of a turn
+GRACE = 2.0  # s within which a drain stands in every view that is read
+MESSAGES = 40  # a proxy takes in 10 s
+SIDECAR = 3  # the number of the one sidecar
+
+
+class Host(Tables):
+    """What the sockets' `Rounds` is, without sockets."""
+
+    def __init__(self, stage):
+        super().__init__(len(KINDS))
+        self.stage, self.came, self.touched = stage, [], True
+
+    def arrive(self, arrival):
+        self.came.append(arrival)
+
+    def probe(self, node):
+        self.came.append(("probed", node, our.ANSWERED, 0.01, (None, None, None)))
+
+    def follow(self, on):
+        pass
+
+    fetch_roll = wake = note = follow
+
+
+class Peer:
+    def __init__(self, stage, id, zone, delta, shape):
+        self.stage, self.id, self.zone, self.delta, self.shape = stage, id, zone, delta, shape
+        self.held = {kind: {} for kind in (CLUSTER, ENDPOINTS, MEMBER, ROUTE)}
+        self.names = {kind: {} for kind in self.held}
+        self.late = self.stalled = False
+        self.refused = False  # on this stream
+        self.refuses = None  # a node whose lists it does not want
+        self.stream, self.owed = None, {}
+        self.pushed = deque()
+        self.picked = set()  # kinds for which it had a node to pick
+
+    def connect(self):
+        """A stream; on its first requests the versions held go along."""
+        self.stream = self.stage.front.open(self.delta)
+        self.stage.peers_by_stream[self.stream] = self
+        self.inbox, self.answers, self.nonces, self.owed = deque(), deque(), {}, {}
+        self.asked, self.refused, self.unanswered = set(), False, {}
+        for kind in self.held:
+            if kind != MEMBER or self.shape == view.EACH:
+                self.ask(kind, list(self.names[kind]))
+
+    def ask(self, kind, names=(), unsubscribe=(), nonce="", refusal=None):
+        first = kind not in self.asked
+        self.asked.add(kind)
+        for name in unsubscribe:
+            self.names[kind].pop(name, None)
+            self.held[kind].pop(name, None)
+        self.names[kind] |= dict.fromkeys(names)
+        brought = {name: version for name, (version, _) in self.held[kind].items()} if first and self.delta else {}
+        told = names if self.delta else tuple(self.names[kind])
+        if not self.delta and not nonce:
+            nonce = self.nonces.get(kind, "")
+        self.stage.front.ask(self.stage.now, self.stream, Ask(
+            kind, tuple(told), tuple(unsubscribe), brought, nonce, refusal,
+            Node(self.id, ZONES[self.zone], self.shape)))
+
+    def drop(self):
+        if self.stream is not None:
+            self.stage.front.close(self.stage.now, self.stream)
+            self.stage.peers_by_stream.pop(self.stream, None)
+            self.stream = None
+
+    def turn(self):
+        """Read what has come, answer what is to be answered."""
+        while self.stream is not None and self.inbox and not self.stalled:
+            for kind, push in self.inbox.popleft():
+                self.take(kind, push)
+            self.stage.front.written(self.stream)
+        while self.stream is not None and self.answers and not self.late:
+            kind, nonce, refusal = self.answers.popleft()
+            self.unanswered.pop(nonce, None)
+            self.ask(kind, nonce=nonce, refusal=refusal)
+
+    def take(self, kind, push):
+        new = {name: (content.version, content.body) for name, content in push.items
+               if kind in (CLUSTER, MEMBER) or name in self.names[kind]}  # else it has let go of it meanwhile
+        self.nonces[kind] = push.nonce
+        self.pushed.append((self.stage.now, kind))
+        refusal = None
+        if kind in (ENDPOINTS, MEMBER) and self.refuses and any(self.shows(body) for _, body in new.values()):
+            refusal, self.refused = f"no {self.refuses} here", True
+        elif kind == CLUSTER and not self.delta:
+            self.held[kind] = new
+        else:
+            self.held[kind] |= new
+            for name in push.removed:
+                self.held[kind].pop(name, None)
+        for name, content in push.items:
+            self.check(kind, name, content)
+        if not refusal:
+            assert all(name in self.held[CLUSTER] for name, _ in push.items if kind in (ENDPOINTS, ROUTE)), \
+                "what builds on a cluster came before it"
+        self.answers.append((kind, push.nonce, refusal))
+        self.unanswered[push.nonce] = kind, push.urgent
+        usual = [one for one, urgent in self.unanswered.values() if not urgent]
+        assert len(usual) == len(set(usual)), f"{self.id}: two usual pushes in flight"
+        if self.shape == view.EACH and kind == ENDPOINTS and not refusal:
+            wanted = {begins + "*": None for _, body in self.held[ENDPOINTS].values() for _, begins in body.collections}
+            if wanted.keys() - self.names[MEMBER].keys():
+                self.ask(MEMBER, sorted(wanted))
+
+    def shows(self, body):
+        return self.refuses in str(body)
+
+    def check(self, kind, name, content):
+        """Nobody who went out is met again before it was seen to be out."""
+        for node, (seq, at) in list(self.owed.get((kind, name), {}).items()):
+            if content.seq >= seq:
+                kept = self.stage.now - at <= STEP_KEPT - 2 * STEP
+                assert node not in content.picks or not kept, f"{self.id} never saw {node} out"
+                del self.owed[kind, name][node]
+
+    def view(self, kind):
+        """Weight and health by node; None where it holds no list yet."""
+        if kind not in self.held[ENDPOINTS]:
+            return None
+        body = self.held[ENDPOINTS][kind][1]
+        found = {one.name: (one.weight, one.health) for one in body.endpoints}
+        for _, begins in body.collections:
+            found |= {member.endpoint.name: (member.endpoint.weight, member.endpoint.health)
+                      for name, (_, member) in self.held[MEMBER].items() if name.startswith(begins)}
+        return found
+
+
+class Stage:
+    def __init__(self, pushes=1000.0):
+        self.now, self.life, self.pushes = 100.0, 0, pushes
+        self.list = {}  # node: (zone, started, state)
+        self.peers, self.said = {}, []
+        self.peers_by_stream = {}
+        self.drained = {}  # node: when the list said so
+        self.errs = None
+        self.begin()
+
+    def begin(self):
+        """A conductor's life; nothing of a former one is known."""
+        self.life += 1
+        self.host = Host(self)
+        self.module = Conductor(
+            seed=1, kinds=[req for _, req in KINDS], roll=our.RollManners(),
+            channel=our.ChannelLimits(100_000, 4, 100_000, MESSAGES, 10.0),
+            cold=our.ColdLimits(8.0, 0.2, 4.0), report_period=1.0, admitting=our.BY_SHARE, crossing_price=0.0,
+            may_probe=True)
+        self.front = Front(self.host, KINDS, ZONES, 8, new_life(self.life, 1), Gate(50, 3, 100, self.pushes),
+                           Budget(self.pushes), False, say=lambda kind, text: self.said.append(text))
+        self.roster, self.picks = view.Roster(), {}
+        self.sidecar = {}
+        self.host.joined(SIDECAR, True)
+        self.host.arrive(("joined", SIDECAR, 0, 10.0, True))
+        if self.list:
+            self.listed()
+
+    def restart(self):
+        self.peers_by_stream.clear()
+        for peer in self.peers.values():
+            peer.stream = None
+        self.begin()
+
+    def listed(self):
+        entries = [(place, zone, started, state, 1.0) for place, (zone, started, state) in self.list.items()]
+        self.roster.take(True, entries)
+        self.host.touched = True
+        self.host.arrive(("listed", True, entries))
+
+    def name(self, place):
+        return f"n{place}", "127.0.0.1", 9000 + place
+
+    def turn(self):
+        """A round, what it means to the sidecar and to the front, then every peer's turn."""
+        self.now += STEP
+        came, self.host.came = self.host.came, []
+        self.module.round(self.now, came, self.host)
+        for proxy, parts in self.host.messages():
+            if proxy == SIDECAR:
+                self.tell_sidecar(parts)
+            else:
+                self.front.told(proxy, parts)
+        self.front.publish(self.now, self.host, self.roster, self.name)
+        self.note_outs()
+        for _ in range(3):
+            for stream, pushes in self.front.dispatch(self.now):
+                self.peers_by_stream[stream].inbox.append(pushes)
+            for peer in self.peers.values():
+                peer.turn()
+        for peer in self.peers.values():
+            self.rules(peer)
+
+    def tell_sidecar(self, parts):
+        """The sidecar's tables as its protocol has them, by kind; it acknowledges at once."""
+        for part in parts:
+            for kind in part.kinds or range(len(KINDS)):
+                if part.whole:
+                    self.sidecar[kind] = {}
+                self.sidecar.setdefault(kind, {}).update(part.lines)
+            for node in part.out:
+                self.sidecar.setdefault("out", set()).add(node)
+            for node in part.back:
+                self.sidecar.setdefault("out", set()).discard(node)
+            if part.mark is not None:
+                self.host.arrive(("applied", SIDECAR, part.mark, 0.0))
+
+    def note_outs(self):
+        """Each peer owes a look at whoever went out of a list that it was sent."""
+        for key, shelf in self.front.shelves.items():
+            if key[0] not in (ENDPOINTS, MEMBER):
+                continue
+            for name, item in shelf.items.items():
+                before, self.picks[key, name] = self.picks.get((key, name), frozenset()), item.now.picks
+                for node in before - item.now.picks:
+                    for stream, peer in self.peers_by_stream.items():
+                        line = stream.lines.get(key[0])
+                        if line and stream.client and self.front.shelf(stream.client, key[0]) is shelf \
+                                and line.sent.get(name, -1) >= 0:
+                            peer.owed.setdefault((key[0], name), {})[node] = item.now.seq, self.now
+
+    def rules(self, peer):
+        for kind, (name, _) in enumerate(KINDS):
+            found = peer.view(name)
+            if found is not None:  # rule 1: who had a node to pick keeps one while the sidecar has one
+                healthy = [node for node, (_, health) in found.items() if health == view.HEALTHY]
+                if healthy:
+                    peer.picked.add(name)
+                elif name in peer.picked and not peer.stalled and peer.stream is not None and not peer.refused:
+                    lines = {node for node, weight in self.sidecar.get(kind, {}).items() if weight > 0}
+                    assert not lines - self.sidecar.get("out", set()), f"{peer.id} has no node for {name}"
+        fee = peer.held[ROUTE].get("fee")
+        assert fee is None or fee[1].retries == 0  # rule 2
+        for node, at in self.drained.items():  # rule 3
+            if self.now - at > GRACE and peer.stream is not None and not peer.stalled and not peer.refused \
+                    and self.now - getattr(peer, "since", 0.0) > GRACE:
+                for name, _ in KINDS:
+                    told = (peer.view(name) or {}).get(f"n{node}")
+                    assert told is None or told[1] != view.HEALTHY, f"{peer.id} still sends to n{node}"
+        while peer.pushed and peer.pushed[0][0] < self.now - 10.0:  # rule 5: the message cap, a type
+            peer.pushed.popleft()
+        counts = [kind for _, kind in peer.pushed]
+        assert all(counts.count(kind) <= MESSAGES for kind in set(counts)), counts
+        if peer.stream is not None:
+            for line in peer.stream.lines.values():
+                assert len(line.flights) <= 8
+
+    def tables_agree(self):
+        """The sidecar's tables and the conductor's are one."""
+        for kind in range(len(KINDS)):
+            at = next(at for at, kinds in self.host.proxies[SIDECAR].bound.items() if kinds >> kind & 1)
+            assert {node: weight for node, weight in self.sidecar[kind].items() if weight > 0} \
+                == self.host.tables[at].lines
+
+    def sidecar_view(self, kind):
+        """The weights of the nodes that the sidecar may pick."""
+        out = self.sidecar.get("out", set())
+        return {f"n{node}": weight for node, weight in self.sidecar[kind].items() if weight > 0 and node not in out}
+
+    def view(self, zone, kind):
+        table = self.front.maps[zone][kind]
+        return {one.name: (one.weight, one.health) for one in self.front.shown[table]}
