Nodes taken from an xDS management server, and what is believed of it

Need: installations that hold their endpoints in another management server keep a second roll otherwise. Change: source.py decides without I/O (a drain at once, half a list only after a hold and a fresh answer, an empty list never, starts that xDS does not tell, two lists as one); follow.py is the client, refusing by the field's name, dialling again with capped and jittered waits. The front's tests gain sidecars, load reports and gRPC's own client at one conductor.

--- a/oatcart/__main__.py
+++ b/oatcart/__main__.py
@@ -18,7 +18,7 @@
 def main() -> int:
     woken = wake_pair()
     try:
-        loop, rounds = assemble(read(os.environ, "EDGE_CONFIG", configuration), woken)
+        loop, rounds, _ = assemble(read(os.environ, "EDGE_CONFIG", configuration), woken)
     except Unusable as error:
         print(f"config: {error}", file=sys.stderr)
         return UNUSABLE
--- a/oatcart/net/door.py
+++ b/oatcart/net/door.py
@@ -34,7 +34,7 @@
         self.loop.open_most = max(1, descriptors - KEPT_BACK)
 
     def listen(self, address: Address) -> socket.socket:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.listener = sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
         sock.listen(BACKLOG)
--- a/oatcart/net/start.py
+++ b/oatcart/net/start.py
@@ -40,7 +40,7 @@
 
 
 def assemble(cfg: dict, woken: socket.socket,
-             make_rounds: Callable[..., Rounds] = Rounds) -> tuple[Loop, Rounds]:
+             make_rounds: Callable[..., Rounds] = Rounds) -> tuple[Loop, Rounds, Door]:
     """All parts, each with its own few settings; the module has had its first round when this returns. Whoever has
     another front beside the sidecars' hands in a kind of `Rounds` that serves it too."""
     settings = read(cfg, "settings", dict)
@@ -76,4 +76,4 @@
             *discovery, most, f"; only a restart changes {', '.join(kept)}" if kept else "")
 
     loop.spawn(reloads(loop, log, woken, take))
-    return loop, rounds
+    return loop, rounds, door
--- a/oatcart/xds/rounds.py
+++ b/oatcart/xds/rounds.py
@@ -5,6 +5,7 @@
 from oatcart.net.conductor import Rounds
 from oatcart.tables import Part
 from oatcart.xds.front import Front
+from oatcart.xds.source import ROLL, XDS, Merge
 from oatcart.xds.view import Roster
 
 
@@ -15,6 +16,8 @@
         super().__init__(*args)
         self.roster, self.gone, self.touched = Roster(), [], False
         self.front: Front | None = None
+        self.merge: Merge | None = None  # with a management server's list, where there is one
+        self.follows_roll = True
         self.published: Callable[[], None] = lambda: None
 
     def serve(self, front: Front, published: Callable[[], None]) -> None:
@@ -22,10 +25,29 @@
 
     def arrive(self, arrival: tuple) -> None:
         if arrival[0] == "listed":
-            self.roster.take(arrival[1], arrival[2])
-            self.touched = True
+            if self.merge is not None:
+                arrival = ("listed", False, self.merge.take(ROLL, arrival[1], arrival[2]))
+            self._listed(arrival)
+        else:
+            super().arrive(arrival)
+
+    def listed_elsewhere(self, entries: list[tuple]) -> None:
+        """The whole list of a management server."""
+        self._listed(("listed", False, self.merge.take(XDS, True, entries)))
+
+    def _listed(self, arrival: tuple) -> None:
+        self.roster.take(arrival[1], arrival[2])
+        self.touched = True
         super().arrive(arrival)
 
+    def follow(self, on: bool) -> None:
+        if self.follows_roll:
+            super().follow(on)
+
+    def fetch_roll(self) -> None:
+        if self.follows_roll:
+            super().fetch_roll()
+
     def line(self, table: int, node: int, weight: float) -> None:
         self.touched = True
         super().line(table, node, weight)
@@ -68,4 +90,6 @@
             self.published()
         for node in self.gone:
             self.roster.drop(node)
+            if self.merge is not None:
+                self.merge.drop(node)
         self.gone = []
--- a/oatcart/xds/serve.py
+++ b/oatcart/xds/serve.py
@@ -4,6 +4,7 @@
 import socket
 import sys
 import time
+from random import Random
 
 from oatcart.handover import start_records
 from oatcart.net.loop import Loop
@@ -11,11 +12,13 @@
 from oatcart.net.start import assemble
 from oatcart.xds.configuration import Xds
 from oatcart.xds.encode import Encoder
+from oatcart.xds.follow import Follower
 from oatcart.xds.front import Front, new_life
 from oatcart.xds.limits import Budget, Gate
 from oatcart.xds.nested import Nested
 from oatcart.xds.rounds import XdsRounds
 from oatcart.xds.server import Server
+from oatcart.xds.source import Backoff, Believed, Merge, Told
 
 UNUSABLE = 2  # exit code where a configuration cannot be used
 
@@ -26,7 +29,7 @@
 
     def __init__(self, cfg: dict, xds: Xds, woken: socket.socket) -> None:
         self.xds = xds
-        self.loop, self.rounds = assemble(cfg, woken, XdsRounds)
+        self.loop, self.rounds, self.door = assemble(cfg, woken, self._rounds)
         records, codec = start_records(cfg["settings"]), self.rounds.codec
         zones = sorted(codec.zones, key=codec.zones.get)
         self.front = Front(
@@ -38,6 +41,28 @@
         self.server = Server(self.front, self.encoder, self.loop.clock, xds.unread_for, xds.report_every,
                              xds.clients * xds.streams, self.place, self.rounds.log.say, self.nested.kick)
 
+        self.follower = None
+        if xds.source is not None:
+            believed = Believed(xds.source.hold)
+            if not xds.source.with_roll:  # the list known at the start is what that server is held against
+                known = self.rounds.merge.move()
+                believed.begin({codec.nodes[at]: Told(zone, state, nominal, started)
+                                for at, zone, started, state, nominal in known})
+            self.follower = Follower(
+                xds.source.address, xds.source.cluster, cfg.get("name", ""), codec, self.rounds.watcher.addresses,
+                believed, Backoff(xds.source.dial_most, Random(int(cfg["seed"], 16)).uniform),
+                self.loop.clock, time.time, self._listed, self.rounds.log.say)
+
+    def _rounds(self, *args: object) -> XdsRounds:
+        rounds = XdsRounds(*args)
+        if self.xds.source is not None:
+            rounds.merge, rounds.follows_roll = Merge(), self.xds.source.with_roll
+        return rounds
+
+    def _listed(self, entries: list[tuple]) -> None:
+        self.rounds.listed_elsewhere(entries)
+        self.nested.kick()
+
     def place(self, at: object) -> int | None:
         """A node's number by its name or by its host and port."""
         if isinstance(at, str):
@@ -50,11 +75,16 @@
         self.rounds.serve(self.front, self.server.soon)
         self.rounds.log.say("start", f"xDS at port {self.port}")
         self.nested.start()
+        if self.follower is not None:
+            self.follower.start()
         return self.port
 
     async def stop(self) -> None:
+        if self.follower is not None:
+            await self.follower.stop()
         await self.server.stop()
         self.nested.stop()
+        self.door.listener.close()
         close(self.loop)
 
 
--- a/tests/xds/table.py
+++ b/tests/xds/table.py
@@ -4,9 +4,10 @@
 import json
 import socket
 
-from oatcart.xds.configuration import Xds
+from oatcart.xds.configuration import Source, Xds
 from oatcart.xds.serve import Conductor
 from oatcart.xds.standin.client import Client
+from oatcart.xds.standin.management import Management
 
 KINDS = ["lookup", "fee"]
 
@@ -45,6 +46,9 @@
         self.one = Conductor(config(self.known, **self.settings), xds, ours)
         self.one.rounds.log.say = lambda kind, text: self.lines.append(f"{kind}: {text}")
         self.one.front.say = self.one.server.say = self.one.rounds.log.say
+        if self.one.follower is not None:
+            self.one.follower.say = self.one.rounds.log.say
+        self.sidecar_port = self.one.door.listener.getsockname()[1]
         self.port = await self.one.start()
 
     async def restart(self):
@@ -81,6 +85,30 @@
         await self.one.stop()
 
 
+class Following(Table):
+    """A conductor that takes its nodes from a scripted management server."""
+
+    async def __aenter__(self):
+        self.server = Management("servers")
+        at = await self.server.start()
+        self.xds = self.xds._replace(source=Source(f"127.0.0.1:{at}", "servers", **self.more))
+        return await super().__aenter__()
+
+    def __init__(self, known=(), hold=0.3, with_roll=False, **more):
+        super().__init__(known or {}, **more)
+        self.more = {"hold": hold, "dial_most": 0.3, "with_roll": with_roll}
+
+    async def __aexit__(self, *_):
+        await super().__aexit__()
+        await self.server.stop()
+
+
+def served(*names, **others):
+    """Endpoints as the management server tells them; others by health."""
+    return [(name, "127.0.0.1", 9000 + int(name[1:]), "ab"[int(name[1:]) % 2], others.get(name, "HEALTHY"), 1)
+            for name in dict.fromkeys([*names, *others])]
+
+
 def nodes(count, **changes):
     return {f"n{at}": (9000 + at, "ab"[at % 2], "SERVING", 0) for at in range(count)} | changes
 
