--- a/oatcart/xds/front.py
+++ b/oatcart/xds/front.py
@@ -26,6 +26,7 @@
 BY_TABLE = (ENDPOINTS, MEMBER, ROUTE)  # depend on the client's tables
 MARKS_OWED = 8  # marks of one client that are not acknowledged; the module waits for none so long
 REFUSALS_KEPT = 8  # of a client, for the operator
+SLICE = 2000  # resources that are sent in one go, some ms of work
 NOTHING = Shelf()  # of a client that is not bound yet
 
 
@@ -116,6 +117,7 @@
         self.shown: dict[int, tuple[view.Endpoint, ...]] = {}  # by table, as last published
         self.drops: dict[tuple[int, int], int] = {}  # by zone and kind
         self.dirty: dict[Stream, None] = {}
+        self.more = False  # work is left over from this slice
         self.again = False  # the budget left someone waiting
         for kind, _ in self.kinds:
             self._shelf(LISTENER).put(0.0, kind, view.Listener(kind))
@@ -320,7 +322,7 @@
                 healthy = {one.name} if one.health == view.HEALTHY else ()
                 urgent = one.name in before and view.sinks([before[one.name]], [one])
                 news |= shelf.put(now, name, view.Member(one), healthy, urgent)
-        return shelf.keep_only(names) or news
+        return shelf.keep_only(now, names) or news
 
     def _rate(self, zone: int, kind: int) -> float:
         rates = [client.rates[kind] for client in self.clients.values() if client.zone == zone and client.bound]
@@ -361,17 +363,21 @@
 
     def dispatch(self, now: float) -> list[tuple[Stream, list[tuple[str, Push]]]]:
         """What to send now, by stream, those first for whom it cannot wait; each counts as sent, and its stream has no
-        room until `written`. `again` tells that the budget left someone waiting for `budget.wait()` seconds."""
+        room until `written`. `again` tells that the budget left someone waiting for `budget.wait()` seconds, `more`
+        that this was one slice of a long work, so that what comes in meanwhile is not kept waiting."""
         self.budget.turn(now)
-        waiting, out, self.again = [], [], False
+        waiting, out, self.again, self.more = [], [], False, False
         for stream in self.dirty:
             if stream.room and stream.client is not None:
                 shelves = {kind: self.shelf(stream.client, kind) for kind in stream.lines}
-                if any(line.waits(shelves[kind]) for kind, line in stream.lines.items()):
-                    urgent = any(line.urgent(shelves[kind]) for kind, line in stream.lines.items())
-                    waiting.append((rank(urgent, stream.primed, stream.returning), stream.key, stream, shelves))
-        self.dirty = {}
+                urgent = any(line.hurries(shelves[kind]) for kind, line in stream.lines.items())
+                waiting.append((rank(urgent, stream.primed, stream.returning), stream.key, stream, shelves))
+        self.dirty, left = {}, SLICE
         for place, _, stream, shelves in sorted(waiting, key=lambda one: one[:2]):
+            if left <= 0:
+                self.more = True
+                self.dirty[stream] = None
+                continue
             pushes = []
             for kind in ORDER:
                 line = stream.lines.get(kind)
@@ -387,6 +393,7 @@
                     self.budget.give()
                 else:
                     pushes.append((kind, push))
+                    left -= len(push.items)
                     stream.primed = stream.primed or kind == ENDPOINTS
             if pushes:
                 stream.room = False
--- a/oatcart/xds/pushes.py
+++ b/oatcart/xds/pushes.py
@@ -44,13 +44,13 @@
     alone: tuple[str, ...]
 
 
-def collected(name: str, collection: str) -> bool:
+def collection_of(name: str) -> str:
     """
-    >>> collected("xdstp://o/T/a/n1", "xdstp://o/T/a/*"), collected("xdstp://o/T/a/b/n1", "xdstp://o/T/a/*")
-    (True, False)
+    >>> collection_of("xdstp://o/T/a/n1"), collection_of("lookup")
+    ('xdstp://o/T/a/*', '')
     """
-    stem = collection[:-1]
-    return collection.endswith(COLLECTION_END) and name.startswith(stem) and "/" not in name[len(stem):]
+    stem, slash, _ = name.rpartition("/")
+    return stem + COLLECTION_END if slash else ""
 
 
 @dataclass(slots=True)
@@ -77,6 +77,7 @@
     seen: int = 0  # the shelf's seq up to which `stale` is complete
     stale: dict[str, None] = field(default_factory=dict)
     reset: bool = True  # all that is wanted has to be looked at
+    calm: int = 0  # the shelf's seq up to which nothing urgent is left to send
     owes: bool = False  # an answer is due even if nothing changed
 
     # -- what the client says
@@ -114,7 +115,7 @@
                 self.wild, self.owes = True, True
             else:
                 self.wanted[name] = None
-                for one in [at for at in self.sent if at == name or collected(at, name)]:
+                for one in [at for at in self.sent if at == name or collection_of(at) == name]:
                     self._forget(one)  # asked for anew, it is sent anew
                 self.owes = self.owes or not first
             self.reset = True
@@ -132,7 +133,7 @@
             kept.pop(name, None)
 
     def _wants(self, name: str) -> bool:
-        return self.wild or name in self.wanted or any(collected(name, one) for one in self.wanted)
+        return self.wild or name in self.wanted or collection_of(name) in self.wanted
 
     def _answer(self, nonce: str, refusal: str | None) -> Refusal | None | bool:
         """An answer to a push in flight; those before it were taken, as answers come in order."""
@@ -178,18 +179,13 @@
         """Whether the client still asks for it."""
         return name in self.sent or self._wants(name)
 
-    def urgent(self, shelf: Shelf) -> bool:
-        self._look(shelf)
-        return any(self._is_urgent(shelf, name) for name in self.stale)
+    def hurries(self, shelf: Shelf) -> bool:
+        """Whether something may be urgent; cheap, as it is asked of all lines to find who goes first."""
+        return self.asked and shelf.ready and shelf.urgent > self.calm and bool(self.sent)
 
     def _is_urgent(self, shelf: Shelf, name: str) -> bool:
         item = shelf.items.get(name)
-        return item.urgent > self.sent.get(name, NEVER) > NEVER if item else name in self.sent
-
-    def waits(self, shelf: Shelf) -> bool:
-        """Whether something is to be sent, now or once an answer has come."""
-        self._look(shelf)
-        return bool(self.stale or self.alone) or self.owes and shelf.ready
+        return item.urgent > self.sent.get(name, NEVER) > NEVER if item else self.sent.get(name, NEVER) > NEVER
 
     def _look(self, shelf: Shelf) -> None:
         """Bring `stale` up to date: names of which the client was sent less than there is."""
@@ -233,23 +229,25 @@
         if not self.asked or not shelf.ready or not (self.stale or self.alone or self.owes):
             return None
         ready = [name for name in self.stale if self._may(name, shelf, may_add, may_remove)]
-        if self.flights:
-            ready = [name for name in ready if self._is_urgent(shelf, name)]
-            if not ready:
-                return None
-        elif self.alone and not any(self._is_urgent(shelf, name) for name in ready):
+        urgent = [name for name in ready if self._is_urgent(shelf, name)]
+        self.calm = self.calm if urgent else shelf.seq
+        if self.flights and not urgent:
+            return None
+        if urgent:
+            ready = urgent  # the rest has time until these are answered
+        elif self.alone:
             name = next(iter(self.alone))
             del self.alone[name]
             if name not in shelf.items or not self._wants(name):
                 return self.due(shelf, may_add, may_remove)
             return self._sends([name], shelf, False)
         if self.whole:
-            return self._sends_all(shelf, ready, may_add, may_remove)
+            return self._sends_all(shelf, ready, bool(urgent), may_add, may_remove)
         for name in ready:
             self.alone.pop(name, None)
         if not ready and not (self.owes and self.delta and not self.stale):
             return None
-        return self._sends(ready, shelf, any(self._is_urgent(shelf, name) for name in ready))
+        return self._sends(ready, shelf, bool(urgent))
 
     def _may(self, name: str, shelf: Shelf, may_add: Callable, may_remove: Callable) -> bool:
         if name not in shelf.items:
@@ -261,19 +259,21 @@
         return item.after(sent) if sent > NEVER else item.now  # who has nothing skips nothing
 
     def _sends(self, names: list[str], shelf: Shelf, urgent: bool) -> Push:
-        items = tuple((name, self._next(name, shelf)) for name in names if name in shelf.items)
-        removed = tuple(name for name in names if name not in shelf.items)
+        found = {name: self._next(name, shelf) for name in names if name in shelf.items}
+        items = tuple((name, content) for name, content in found.items() if content.body is not None)
+        removed = tuple(name for name in names if name not in found or found[name].body is None)
         return self._note(items, removed, urgent, digest([content.version for _, content in items], removed), shelf)
 
-    def _sends_all(self, shelf: Shelf, ready: list[str], may_add: Callable, may_remove: Callable) -> Push | None:
+    def _sends_all(self, shelf: Shelf, ready: list[str], urgent: bool, may_add: Callable,
+                   may_remove: Callable) -> Push | None:
         """All that is wanted; a name whose turn to go has not come is held back with the whole push."""
         if any(name not in shelf.items and name not in ready for name in self.stale):
             return None
         if not ready and (self.stale or not self.owes):
             return None  # a push without what is to come would tell that it does not exist
-        urgent = any(self._is_urgent(shelf, name) for name in ready)
-        items = tuple((name, self._next(name, shelf)) for name in shelf.items
-                      if self._wants(name) and self._may(name, shelf, may_add, may_remove))
+        items = tuple((name, content) for name in shelf.items
+                      if self._wants(name) and self._may(name, shelf, may_add, may_remove)
+                      and (content := self._next(name, shelf)).body is not None)
         version = digest([(name, content.version) for name, content in items])
         if version == self.refused_all:
             for name in ready:
@@ -291,8 +291,8 @@
         took = {name: content.seq for name, content in items} | dict.fromkeys(removed, ABSENT)
         self.flights.append(Flight(self.nonce, version, took, {name: content.version for name, content in items}))
         self.sent |= took
-        for name in took:
-            if name in shelf.items and self._lacks(name, shelf):
+        for name, seq in took.items():
+            if name in shelf.items and seq != shelf.items[name].now.seq:
                 self.stale[name] = None  # that was a step, what stands now is still to come
             else:
                 self.stale.pop(name, None)
--- a/oatcart/xds/server.py
+++ b/oatcart/xds/server.py
@@ -101,6 +101,8 @@
             live = self.lives[stream]
             live.pushes += pushes
             live.wake.set()
+        if self.front.more:
+            self.soon()
         if self.front.again and self.timer is None:
             self.timer = self.loop.call_later(self.front.budget.wait(), self._again)
 
--- a/oatcart/xds/shelf.py
+++ b/oatcart/xds/shelf.py
@@ -26,7 +26,8 @@
 
 
 class Content(NamedTuple):
-    """What a resource says. `picks`: the nodes that may be picked by it; `body` is opaque here."""
+    """What a resource says. `picks`: the nodes that may be picked by it; `body` is opaque here, None: that there was
+    none for a while."""
 
     seq: int
     version: str
@@ -77,6 +78,8 @@
     ready: bool = False
     log: deque = field(default_factory=lambda: deque(maxlen=LOG_MOST))  # (seq, name), in order
     seq: int = 0
+    ghosts: dict = field(default_factory=dict)  # by name, oldest first: the step that a dropped one ended with
+    urgent: int = 0  # the seq of the last change that waits for nobody
 
     def put(self, at: float, name: str, body: Hashable, picks: Iterable = (), urgent: bool = False) -> bool:
         """Whether this is news."""
@@ -87,19 +90,29 @@
         content = Content(self.seq, version, body, frozenset(picks))
         if item is None:
             self.items[name] = Item(name, content)
+            if (step := self.ghosts.pop(name, None)) and step.at >= at - STEP_KEPT:
+                self.items[name].steps.append(step)
         else:
             item.turn(at, content, urgent)
+            self.urgent = max(self.urgent, item.urgent)
         return True
 
-    def drop(self, name: str) -> None:
-        if self.items.pop(name, None) is not None:
+    def drop(self, at: float, name: str) -> None:
+        """Should it come back soon, nobody may skip that it was gone: it is another life of whatever it tells of."""
+        item = self.items.pop(name, None)
+        if item is not None:
             self._turned(name)
+            self.urgent = self.seq
+            lost = item.now.picks.union(*(step.lost for step in item.steps if step.at >= at - STEP_KEPT))
+            self.ghosts[name] = Step(at, Content(self.seq, "", None, frozenset()), lost)
+        while self.ghosts and next(iter(self.ghosts.values())).at < at - STEP_KEPT:
+            del self.ghosts[next(iter(self.ghosts))]
 
-    def keep_only(self, names: Iterable[str]) -> bool:
+    def keep_only(self, at: float, names: Iterable[str]) -> bool:
         """Drop all others; whether there were any."""
         over = self.items.keys() - set(names)
         for name in sorted(over):
-            self.drop(name)
+            self.drop(at, name)
         return bool(over)
 
     def _turned(self, name: str) -> None:
--- a/oatcart/xds/standin/client.py
+++ b/oatcart/xds/standin/client.py
@@ -159,6 +159,24 @@
                       if begins and name.startswith(begins)}
         return found
 
+    def count(self) -> int:
+        """How many endpoints it holds of all kinds, at least."""
+        return len(self.held[MEMBER]) or sum(len(part.lb_endpoints) for _, message in self.held[ENDPOINTS].values()
+                                             for part in message.endpoints)
+
+    def endpoint(self, kind: str, name: str) -> tuple[int, str]:
+        """Weight and health of one node as `endpoints` has them, found without looking at all others."""
+        if kind in self.held[ENDPOINTS]:
+            for part in self.held[ENDPOINTS][kind][1].endpoints:
+                begins = part.leds_cluster_locality_config.leds_collection_name[:-1]
+                if begins and begins + name in self.held[MEMBER]:
+                    return seen(self.held[MEMBER][begins + name][1])
+                for lb in part.lb_endpoints:
+                    if lb.endpoint.hostname == name:
+                        weight = part.load_balancing_weight.value if part.locality.sub_zone else 0
+                        return weight or seen(lb)[0], seen(lb)[1]
+        return 0, ""
+
     def collections(self) -> list[str]:
         return sorted({part.leds_cluster_locality_config.leds_collection_name
                        for _, message in self.held[ENDPOINTS].values() for part in message.endpoints} - {""})
--- a/tests/xds/sim.py
+++ b/tests/xds/sim.py
@@ -73,6 +73,7 @@
         told = names if self.delta else tuple(self.names[kind])
         if not self.delta and not nonce:
             nonce = self.nonces.get(kind, "")
+            self.unanswered.pop(nonce, None)  # names asked for bear the last nonce, which answers it
         self.stage.front.ask(self.stage.now, self.stream, Ask(
             kind, tuple(told), tuple(unsubscribe), brought, nonce, refusal,
             Node(self.id, ZONES[self.zone], self.shape)))
@@ -108,6 +109,7 @@
             self.held[kind] |= new
             for name in push.removed:
                 self.held[kind].pop(name, None)
+                self.owed.pop((kind, name), None)  # it saw it gone
         for name, content in push.items:
             self.check(kind, name, content)
         if not refusal:
