Trace file: blocks that stand alone, a bounded writer, a reader of cut files

Need: disputed fees are reconstructed from logs that disagree; events have to be kept compactly and survive a crash.

--- /dev/null
+++ b/oatcart/trace/plan.py
@@ -0,0 +1,150 @@
+"""What a writer keeps, sheds, syncs, rotates and deletes, and when it gives a disk up. Free of I/O and clock.
+
+Serving comes first: records wait in bounded room, and where there is none the least wanted go, which is itself recorded.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from oatcart.trace.records import RANKS, SHED, make
+
+BLOCK_RECORDS = 4096  # of a block: 8 s of 500 reqs a second; larger ones shrink by little and are slower to seek in
+BLOCK_AGE = 5.0  # s; what a crash may lose
+SYNC_EVERY = 10.0  # s between syncs; each may take some tens of ms, of the writer's time alone
+DISK_FIRST, DISK_MOST, DISK_GROWTH = 1.0, 300.0, 2.0  # s, s, factor: waits after a failing disk
+LEAST_WANTED = max(RANKS.values())
+
+
+@dataclass(slots=True)
+class Loss:
+    """Records of a kind that were shed."""
+
+    count: int
+    since: float
+    until: float
+    why: str
+
+
+class Keeper:
+    """Records that wait to be written, `most` of them at most."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.size = most, 0
+        self.waiting: dict[int, deque] = {rank: deque() for rank in range(LEAST_WANTED + 1)}
+        self.count = 0  # of all taken in: their order
+        self.losses: dict[str, Loss] = {}
+
+    def put(self, record: tuple) -> None:
+        """Take a record in, or shed one: of the least wanted that wait, the newest."""
+        rank = RANKS.get(record[0], LEAST_WANTED)
+        if self.size >= self.most:
+            worst = max(at for at, queue in self.waiting.items() if queue)
+            if worst <= rank:
+                return self._lose(record, "no room")
+            self._lose(self.waiting[worst].pop()[1], "no room")
+            self.size -= 1
+        self.count += 1
+        self.waiting[rank].append((self.count, record))
+        self.size += 1
+
+    def _lose(self, record: tuple, why: str) -> None:
+        loss = self.losses.get(record[0])
+        if loss is None:
+            self.losses[record[0]] = Loss(1, record[1], record[1], why)
+        else:
+            loss.count += 1
+            loss.since, loss.until = min(loss.since, record[1]), max(loss.until, record[1])
+
+    def take(self, now: float, most: int) -> list[tuple]:
+        """The next records to be written, in the order in which they came; first what was shed since the last."""
+        out = [make(SHED, now, kind, loss.count, loss.since, loss.until, loss.why)
+               for kind, loss in self.losses.items()]
+        self.losses = {}
+        found = []
+        for rank, queue in self.waiting.items():
+            while queue and len(found) < most:
+                found.append(queue.popleft())
+            if len(found) >= most:
+                break
+        self.size -= len(found)
+        return out + [record for _, record in sorted(found, key=lambda one: one[0])]
+
+    def give_up(self, records: Iterable[tuple], why: str) -> None:
+        """Records that were taken and could not be written."""
+        for record in records:
+            if record[0] != SHED:
+                self._lose(record, why)
+            elif record[2] in self.losses:  # what it told of is told again
+                loss = self.losses[record[2]]
+                loss.count, loss.since = loss.count + record[3], min(loss.since, record[4])
+            else:
+                self.losses[record[2]] = Loss(*record[3:7])
+
+
+class Pace:
+    """When a block is due, a sync, another file."""
+
+    def __init__(self, file_bytes: int, file_for: float) -> None:
+        self.file_bytes, self.file_for = file_bytes, file_for
+        self.block_at = self.synced_at = self.opened_at = 0.0
+
+    def opened(self, now: float) -> None:
+        self.opened_at = self.synced_at = self.block_at = now
+
+    def block_due(self, now: float, waiting: int) -> bool:
+        return waiting >= BLOCK_RECORDS or waiting > 0 and now - self.block_at >= BLOCK_AGE
+
+    def sync_due(self, now: float) -> bool:
+        return now - self.synced_at >= SYNC_EVERY
+
+    def turn_due(self, now: float, size: int) -> bool:
+        """Whether the file is to end and another to begin."""
+        return size >= self.file_bytes or now - self.opened_at >= self.file_for
+
+
+class Stored(NamedTuple):
+    """A file of the folder. `busy`: being written, read or cut."""
+
+    name: str
+    size: int
+    busy: bool
+
+
+def over(files: Iterable[Stored], budget: int) -> list[str]:
+    """Whole files to delete, oldest first, so that the rest keeps to the budget; never a busy one. Names sort by age.
+
+    >>> over([Stored("a", 4, False), Stored("b", 4, True), Stored("c", 4, False), Stored("d", 4, False)], 9)
+    ['a', 'c']
+    """
+    files, out = sorted(files), []
+    total = sum(one.size for one in files)
+    for one in files:
+        if total <= budget:
+            break
+        if not one.busy:
+            out.append(one.name)
+            total -= one.size
+    return out
+
+
+class Disk:
+    """Whether a disk that failed is tried again."""
+
+    def __init__(self) -> None:
+        self.off_until, self.wait, self.off = 0.0, DISK_FIRST, False
+
+    def may(self, now: float) -> bool:
+        return now >= self.off_until
+
+    def failed(self, now: float, why: str) -> str | None:
+        """The line for the log, the first time."""
+        self.off_until, self.wait = now + self.wait, min(DISK_MOST, self.wait * DISK_GROWTH)
+        first, self.off = not self.off, True
+        return f"tracing is off: {why}; tried again in {self.off_until - now:g} s, then less often" if first else None
+
+    def worked(self) -> str | None:
+        """The line for the log, where it had failed."""
+        was, self.off, self.wait = self.off, False, DISK_FIRST
+        return "tracing is on again" if was else None
--- /dev/null
+++ b/oatcart/trace/reader.py
@@ -0,0 +1,128 @@
+"""Reading a trace, whole, cut or spoilt: every whole block is had, and what is missing is said."""
+
+import fcntl
+import os
+from collections import Counter
+from collections.abc import Iterator
+from math import inf
+from pathlib import Path
+
+from oatcart.trace import format as form
+from oatcart.trace.records import Record
+
+TAIL_FIRST = 64 * 1024  # bytes of the end that are read to find the footer; an hour's index is a tenth of it
+
+
+class Trace:
+    """An open trace. `index`: (offset, length, count, first, last) a block; `missing`: what was lost, in words;
+    `skipped`: records of unknown kinds, by kind, among what was read."""
+
+    def __init__(self, path: Path | str) -> None:
+        self.path = Path(path)
+        self.file = open(self.path, "rb")  # noqa: SIM115: it lives as long as this does
+        fcntl.flock(self.file, fcntl.LOCK_SH)  # so that retention leaves it
+        self.missing: list[str] = []
+        self.skipped: Counter[str] = Counter()
+        self.read_bytes = 0
+        try:
+            self.length = os.fstat(self.file.fileno()).st_size
+            self.facts, self.begin = form.read_header(self._at(0, min(self.length, form.HEAD.size + form.FACTS_MOST + 8)
+                                                               if self.length < TAIL_FIRST else TAIL_FIRST))
+            self.index, self.footed = self._index()
+        except BaseException:
+            self.file.close()
+            raise
+
+    def __enter__(self) -> "Trace":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.file.close()
+
+    def _at(self, offset: int, size: int) -> bytes:
+        data = os.pread(self.file.fileno(), size, offset)
+        self.read_bytes += len(data)
+        return data
+
+    def _index(self) -> tuple[list[tuple], bool]:
+        size = min(self.length - self.begin, TAIL_FIRST)
+        try:
+            try:
+                return form.read_footer(self._at(self.length - size, size))[0], True
+            except form.Short as short:
+                if short.size > self.length - self.begin:
+                    raise form.Bad("the footer is spoilt") from None
+                return form.read_footer(self._at(self.length - short.size, short.size))[0], True
+        except form.Bad as error:
+            self.missing.append(f"{error}: the index was made anew from the blocks")
+            return self.scan(), False
+
+    def scan(self) -> list[tuple]:
+        """The index from the blocks themselves; what lies between whole ones is said to be missing."""
+        index, at, gap = [], self.begin, None
+        while at < self.length:
+            try:
+                data = self._at(at, form.HEADER.size)
+                head = form.read_head(data)
+                size = form.HEADER.size + head.length
+                if not form.whole(self._at(at, size), 0, head):
+                    raise form.Bad("spoilt or cut")
+            except form.Bad:
+                if gap is None:
+                    gap = at
+                at = self._next(at + 1)
+                continue
+            if gap is not None:
+                self.missing.append(f"bytes {gap} to {at} are no whole block")
+                gap = None
+            index.append((at, size, head.count, head.first, head.last))
+            at += size
+        if gap is not None:
+            self.missing.append(f"bytes {gap} to {self.length} are no whole block")
+        return index
+
+    def _next(self, at: int) -> int:
+        """Where the next block may begin."""
+        step = 1 << 20
+        while at < self.length:
+            data = self._at(at, step)
+            found = data.find(form.BLOCK)
+            if found >= 0:
+                return at + found
+            at += max(1, len(data) - len(form.BLOCK) + 1)
+        return self.length
+
+    def records(self, first: float = -inf, last: float = inf) -> Iterator[Record]:
+        """The records from `first` up to but not at `last`, by the instance's clock, in the order of the file. Only
+        blocks that may hold some are read; a spoilt one is said to be missing."""
+        for offset, length, count, begins, ends in self.index:
+            if ends < first or begins >= last:
+                continue
+            data = self._at(offset, length)
+            try:
+                head = form.read_head(data)
+                if not form.whole(data, 0, head):
+                    raise form.Bad("it is spoilt")
+                found, skipped = form.read_block(data[form.HEADER.size:])
+            except form.Bad as error:
+                self.missing.append(f"a block of {count} records from {begins:.3f} to {ends:.3f}: {error}")
+                continue
+            self.skipped.update(skipped)
+            yield from (one for one in found if first <= one.fields["at"] < last)
+
+
+def repair(path: Path) -> str:
+    """Give a file that ended without a footer its own, after its last whole block; says what was done, if anything.
+    Whoever calls this knows that nobody writes the file."""
+    with Trace(path) as trace:
+        if trace.footed:
+            return ""
+        index = trace.index
+        end = max((offset + length for offset, length, *_ in index), default=trace.begin)
+    with open(path, "r+b") as file:
+        file.truncate(end)
+        file.seek(end)
+        file.write(form.footer(index))
+        file.flush()
+        os.fsync(file.fileno())
+    return f"its index was repaired, {len(index)} blocks are whole"
