--- a/oatcart/trace/format.py
+++ b/oatcart/trace/format.py
@@ -20,7 +20,7 @@
 import xxhash
 import zstandard
 
-from oatcart.trace.records import FIELDS, Record
+from oatcart.trace.records import FIELDS, FIELDS_MERGED, Record
 
 MAGIC, BLOCK, FOOTER, END = b"OATTRACE", b"OTB1", b"OTX1", b"OTXE"
 VERSION = 1  # of the grammar; a reader refuses a higher one, fields and kinds may come and go within it
@@ -174,7 +174,7 @@
     return len(body) == head.length and xxhash.xxh64_intdigest(data[at + 4:at + HEADER.size - 8] + body) == head.checksum
 
 
-def read_block(payload: bytes, known: dict = FIELDS) -> tuple[list[Record], dict[str, int]]:
+def read_block(payload: bytes, known: dict = FIELDS_MERGED) -> tuple[list[Record], dict[str, int]]:
     """The records of a block in their order, and how many of unknown kinds were skipped, by kind. A field that is not
     known is left out, one that the file lacks is missing."""
     try:
--- a/oatcart/trace/reader.py
+++ b/oatcart/trace/reader.py
@@ -108,7 +108,10 @@
                 self.missing.append(f"a block of {count} records from {begins:.3f} to {ends:.3f}: {error}")
                 continue
             self.skipped.update(skipped)
-            yield from (one for one in found if first <= one.fields["at"] < last)
+            if first <= begins and ends < last:
+                yield from found
+            else:
+                yield from (one for one in found if first <= one.fields["at"] < last)
 
 
 def repair(path: Path) -> str:
--- a/oatcart/trace/records.py
+++ b/oatcart/trace/records.py
@@ -8,7 +8,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-ROUND, REQ, TRY, START, CLOCK, OUT, IN, SHED = "round", "req", "try", "start", "clock", "out", "in", "shed"
+ROUND, REQ, TRY, START, CLOCK, NAME, OUT, IN, SHED = (
+    "round", "req", "try", "start", "clock", "name", "out", "in", "shed")
 
 # `at` comes first everywhere: when it was, as the instance saw it
 FIELDS: Mapping[str, tuple[tuple[str, str], ...]] = {
@@ -19,6 +20,7 @@
           ("node", "name"), ("ending", "name"), ("took", "us")),
     START: (("at", "float"), ("instance", "name"), ("seed", "any"), ("records", "any"), ("text", "name"),
             ("names", "any")),
+    NAME: (("at", "float"), ("what", "name"), ("number", "int"), ("name", "name")),
     CLOCK: (("at", "float"), ("unix", "float"), ("stepped", "float")),
     OUT: (("at", "us"), ("link", "bytes"), ("to", "name")),
     IN: (("at", "us"), ("link", "bytes"), ("of", "name")),
@@ -26,7 +28,10 @@
            ("why", "name")),
 }
 # What is kept when not all can be: the first is kept longest
-RANKS = {SHED: 0, START: 0, CLOCK: 0, ROUND: 1, OUT: 2, IN: 2, TRY: 3, REQ: 4}
+RANKS = {SHED: 0, START: 0, CLOCK: 0, NAME: 0, ROUND: 1, OUT: 2, IN: 2, TRY: 3, REQ: 4}
+# What a merge adds: who saw it, by how much its time may be off, whether its place after the one before is certain
+MERGED = (("instance", "name"), ("bound", "us"), ("witnesses", "any"), ("certain", "int"))
+FIELDS_MERGED = {kind: (*fields, *MERGED) if kind != START else (*fields, *MERGED[1:]) for kind, fields in FIELDS.items()}
 DONE, DENIED, ERRORED = "done", "denied", "errored"  # outcomes of a req
 
 
--- /dev/null
+++ b/oatcart/trace/run.py
@@ -0,0 +1,36 @@
+"""`python -m oatcart.trace.run deploy/trace.yaml`: a plain conductor, configured by `EDGE_CONFIG`, that writes traces."""
+
+import argparse
+import os
+import sys
+
+from oatcart.net.conductor import Rounds
+from oatcart.net.reload import Unusable, wake_pair
+from oatcart.net.start import assemble, configuration, read
+from oatcart.trace.configuration import Wrong
+from oatcart.trace.configuration import read as read_tracing
+from oatcart.trace.hook import end_with, traced
+
+UNUSABLE = 2  # exit code where a configuration cannot be used
+
+
+def main(words: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="oatcart.trace.run", description=__doc__)
+    parser.add_argument("file", help="where traces go, YAML")
+    told = parser.parse_args(words)
+    writers = []
+    try:
+        tracing, cfg = read_tracing(told.file), read(os.environ, "EDGE_CONFIG", configuration)
+        loop, rounds, _ = assemble(cfg, wake_pair(), traced(Rounds, cfg, tracing, writers.append))
+    except (Wrong, Unusable) as error:
+        print(error, file=sys.stderr)
+        return UNUSABLE
+    writers[0].start()
+    end_with(writers[0])
+    while True:
+        loop.turn()
+        rounds.turn()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/oatcart/trace/writer.py
+++ b/oatcart/trace/writer.py
@@ -58,7 +58,7 @@
         self.folder, self.instance, self.facts, self.clock, self.say = Path(folder), instance, facts, clock, say
         self.budget, self.store = budget, store or Store()
         self.keeper, self.pace, self.disk = Keeper(room), Pace(file_bytes, file_for), Disk()
-        self.lock, self.stopping = threading.Lock(), threading.Event()
+        self.lock, self.stopping = threading.RLock(), threading.Event()
         self.fd: int | None = None
         self.index: list[tuple] = []
         self.size = self.number = self.files = 0
@@ -75,10 +75,13 @@
         self.thread = threading.Thread(target=self._run, name="trace", daemon=True)
         self.thread.start()
 
-    def stop(self) -> None:
+    def stop(self, within: float | None = None) -> None:
+        """Write what waits and end the file; where the thread does not end in time, that is left to recovery."""
         self.stopping.set()
         if self.thread is not None:
-            self.thread.join()
+            self.thread.join(within)
+            if self.thread.is_alive():
+                return
         self.work(last=True)
 
     def _run(self) -> None:
--- a/oatcart/xds/__main__.py
+++ b/oatcart/xds/__main__.py
@@ -22,17 +22,29 @@
     parser = argparse.ArgumentParser(prog="oatcart.xds", description=__doc__)
     parser.add_argument("file", help="the front's settings, YAML")
     parser.add_argument("--check", action="store_true", help="read and check the files, start nothing")
+    parser.add_argument("--trace", metavar="FILE", help="write traces, as this file says, YAML")
     told = parser.parse_args(words)
     try:
         xds = read_xds(told.file)
         cfg = read(os.environ, "EDGE_CONFIG", configuration)
+        if told.trace:
+            from oatcart.trace import configuration as tracing
+            from oatcart.trace import hook
+            where = tracing.read(told.trace)
     except (Wrong, Unusable) as error:
         print(error, file=sys.stderr)
         return UNUSABLE
     if told.check:
         print(f"{told.file} can be used")
         return 0
-    return asyncio.run(run(cfg, xds))
+    if not told.trace:
+        return asyncio.run(run(cfg, xds))
+
+    def made(writer: hook.Writer) -> None:
+        writer.start()
+        hook.end_with(writer)
+
+    return asyncio.run(run(cfg, xds, lambda make: hook.traced(make, cfg, where, made)))
 
 
 if __name__ == "__main__":
--- a/oatcart/xds/configuration.py
+++ b/oatcart/xds/configuration.py
@@ -1,24 +1,13 @@
-"""`deploy/xds.yaml`: what an operator sets of the xDS front, checked. Every error names file, line and field.
+"""`deploy/xds.yaml`: what an operator sets of the xDS front, checked. All keys have defaults."""
 
-Times bear a unit (`250ms`, `2s`, `1m`). All keys have defaults; unknown ones are errors, with the nearest known one.
-"""
-
-import re
-from collections.abc import Callable
-from difflib import get_close_matches
-from ipaddress import ip_address
 from pathlib import Path
 from typing import NamedTuple
 
-from ruamel.yaml import YAML
 from ruamel.yaml.comments import CommentedMap
-from ruamel.yaml.error import MarkedYAMLError
-
-UNITS = {"ms": 0.001, "s": 1.0, "m": 60.0}
 
+from oatcart.yaml_files import Wrong, address, load, name, span, table, whole, yes_or_no
 
-class Wrong(Exception):
-    """What is wrong with a file, all of it: a line each."""
+__all__ = ["Source", "Wrong", "Xds", "read"]
 
 
 class Source(NamedTuple):
@@ -45,106 +34,22 @@
     source: Source | None = None
 
 
-def span(value: object) -> float:
-    """
-    >>> span("250ms"), span("2 s")
-    (0.25, 2.0)
-    >>> span(5)
-    Traceback (most recent call last):
-    ValueError: 5 has no unit; write it as 250ms, 2s or 1m
-    """
-    found = re.fullmatch(r"(\d+(?:\.\d+)?)\s*(ms|s|m)", str(value))
-    if not found:
-        raise ValueError(f"{value} has no unit; write it as 250ms, 2s or 1m")
-    seconds = float(found[1]) * UNITS[found[2]]
-    if not 0.0 < seconds <= 3600.0:
-        raise ValueError(f"{value} is not between 0 and an hour")
-    return seconds
-
-
-def whole(least: int, most: int) -> Callable[[object], int]:
-    def turn(value: object) -> int:
-        if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
-            raise ValueError(f"{value} is not a whole number from {least} to {most}")
-        return value
-    return turn
-
-
-def address(value: object) -> str:
-    """Host and port, the host a numeric address: nothing here looks names up.
-
-    >>> address("127.0.0.1:18000")
-    '127.0.0.1:18000'
-    """
-    host, _, port = str(value).rpartition(":")
-    try:
-        ip_address(host)
-        if not 0 <= int(port) < 65536:
-            raise ValueError
-    except ValueError:
-        raise ValueError(f"{value!r} is not a numeric address and a port, as 127.0.0.1:18000") from None
-    return str(value)
-
-
-def name(value: object) -> str:
-    if not isinstance(value, str) or not 0 < len(value) <= 256:
-        raise ValueError(f"{value!r} is no name")
-    return value
-
-
-def yes_or_no(value: object) -> bool:
-    if not isinstance(value, bool):
-        raise ValueError(f"{value!r} is neither true nor false")
-    return value
-
-
 SOURCE = {"address": address, "cluster": name, "hold": span, "dial_most": span, "with_roll": yes_or_no}
 FIELDS = {"listen": address, "home_zone": name, "clients": whole(1, 100_000), "streams": whole(1, 64),
           "names": whole(1, 100_000), "pushes": whole(1, 1_000_000), "unread_for": span, "report_every": span,
           "source": None}
 
 
-def _table(told: object, fields: dict, at: str, where: Callable[[int], str], wrong: list[str], line: int) -> dict:
-    if not isinstance(told, CommentedMap):
-        wrong.append(f"{where(line)}: {at or 'the file'} is no table of keys")
-        return {}
-    out = {}
-    for key, value in told.items():
-        here, full = where(told.lc.key(key)[0]), f"{at}{key}"
-        if key not in fields:
-            near = get_close_matches(str(key), fields, 1)
-            wrong.append(f"{here}: {full} is not known" + (f"; did you mean {near[0]}?" if near else ""))
-        elif fields[key] is None:
-            out[key] = value
-        else:
-            try:
-                out[key] = fields[key](value)
-            except ValueError as error:
-                wrong.append(f"{here}: {full}: {error}")
-    return out
-
-
 def read(path: str | Path) -> Xds:
     """The file's settings; raises Wrong with all that is wrong in it."""
     wrong: list[str] = []
-
-    def where(line: int) -> str:
-        return f"{path}:{line + 1}"
-
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-        told = YAML(typ="rt").load(text)
-    except MarkedYAMLError as error:
-        mark = error.problem_mark or error.context_mark
-        raise Wrong(f"{where(mark.line if mark else 0)}: {error.problem or error.context}") from None
-    except (OSError, UnicodeDecodeError) as error:
-        raise Wrong(f"{path}: {error}") from None
+    told, where = load(path)
     if told is None:
         return Xds()
-    found = _table(told, FIELDS, "", where, wrong, 0)
+    found = table(told, FIELDS, "", where, wrong, 0)
     if "source" in found:
         line = told.lc.key("source")[0]
-        source = _table(found["source"], SOURCE, "source.", where, wrong, line)
+        source = table(found["source"], SOURCE, "source.", where, wrong, line)
         asked = found["source"] if isinstance(found["source"], CommentedMap) else {}
         wrong += [f"{where(line)}: source.{key} is missing" for key in ("address", "cluster") if key not in asked]
         found["source"] = Source(**source) if not wrong else None
--- a/oatcart/xds/serve.py
+++ b/oatcart/xds/serve.py
@@ -4,6 +4,7 @@
 import socket
 import sys
 import time
+from collections.abc import Callable
 from random import Random
 
 from oatcart.handover import start_records
@@ -27,9 +28,10 @@
     """A whole conductor in this process; `cfg` is what `EDGE_CONFIG` names, read; `woken` is readable
     once it is to be read again."""
 
-    def __init__(self, cfg: dict, xds: Xds, woken: socket.socket) -> None:
+    def __init__(self, cfg: dict, xds: Xds, woken: socket.socket,
+                 traced: Callable[[Callable], Callable] = lambda make: make) -> None:
         self.xds = xds
-        self.loop, self.rounds, self.door = assemble(cfg, woken, self._rounds)
+        self.loop, self.rounds, self.door = assemble(cfg, woken, traced(self._rounds))
         records, codec = start_records(cfg["settings"]), self.rounds.codec
         zones = sorted(codec.zones, key=codec.zones.get)
         self.front = Front(
@@ -95,9 +97,10 @@
     loop.poll.close()
 
 
-async def run(cfg: dict, xds: Xds) -> int:
+async def run(cfg: dict, xds: Xds, traced: Callable[[Callable], Callable] = lambda make: make) -> int:
+    """`traced` may put a tap between the module and its rounds."""
     try:
-        await Conductor(cfg, xds, wake_pair()).start()
+        await Conductor(cfg, xds, wake_pair(), traced).start()
     except (Unusable, RuntimeError) as error:
         print(f"config: {error}", file=sys.stderr)
         return UNUSABLE
--- /dev/null
+++ b/tests/trace/test_trace.py
@@ -0,0 +1,310 @@
+"""The trace file and its writer: round trips, cuts at every byte, flips, failing disks, floods."""
+
+import struct
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oatcart.trace import format as form
+from oatcart.trace import generate
+from oatcart.trace.plan import Disk, Keeper, Stored, over
+from oatcart.trace.reader import Trace, repair
+from oatcart.trace.records import CLOCK, FIELDS, NAME, REQ, ROUND, SHED, START, TRY, make
+from oatcart.trace.writer import Store, Writer
+
+FLOAT = st.floats(allow_nan=False)
+MICROS = st.integers(-10 ** 14, 10 ** 14).map(lambda one: one / 1e6)
+INT = st.integers(-2 ** 63, 2 ** 63 - 1)
+ANY = st.recursive(st.none() | st.booleans() | INT | FLOAT | st.text(), lambda one: st.lists(one).map(tuple), max_leaves=8)
+VALUES = {"us": MICROS, "int": INT, "float": FLOAT, "name": st.text(), "bytes": st.binary(), "any": ANY}
+RECORDS = st.lists(st.sampled_from(sorted(FIELDS)).flatmap(
+    lambda kind: st.tuples(st.just(kind), *(VALUES[how] for _, how in FIELDS[kind]))), min_size=1, max_size=30)
+
+
+@given(RECORDS)
+@settings(max_examples=150, deadline=None, derandomize=True)
+def test_what_is_written_is_read(records):
+    data = form.block(7, records)
+    head = form.read_head(data)
+    assert form.whole(data, 0, head) and head.number == 7 and head.count == len(records)
+    found, skipped = form.read_block(data[form.HEADER.size:])
+    assert [(one.kind, *one.fields.values()) for one in found] == records and not skipped
+    assert head.first == min(one[1] for one in records) and head.last == max(one[1] for one in records)
+
+
+def req(at, id=1, key=b"", kind="lookup", node="n1", outcome="done", proxy="p1", tries=1):
+    return make(REQ, at, id, key, proxy, kind, "east", node, outcome, 0.05, tries, 1.0)
+
+
+class Clock:
+    def __init__(self, now=100.0):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+
+def writer(folder, clock, **more):
+    said = []
+    one = Writer(folder, "n0", {"site": "x"}, clock, lambda kind, text: said.append(text), **more)
+    one.said = said
+    return one
+
+
+def small(folder, blocks=4, end=True):
+    """A file of some blocks, two records each, a name more in each block."""
+    clock = Clock()
+    one = writer(folder, clock)
+    for at in range(blocks):
+        clock.now = 100.0 + 10 * at
+        one.put(req(clock.now, at, node=f"n{at}"))
+        one.put(make(CLOCK, clock.now, clock.now + 1e9, 0.0))
+        one.work()
+        clock.now += 6
+        one.work()
+    if end:
+        one.work(last=True)
+    else:
+        one._close()
+    return next(folder.iterdir())
+
+
+def times(path):
+    with Trace(path) as trace:
+        return [one.fields["at"] for one in trace.records()], trace.missing
+
+
+def test_a_string_table_grows_in_mid_file_and_a_minute_is_found(tmp_path):
+    path = small(tmp_path)
+    with Trace(path) as trace:
+        assert [one.fields["node"] for one in trace.records() if one.kind == REQ] == ["n0", "n1", "n2", "n3"]
+        before = trace.read_bytes
+        assert [one.fields["at"] for one in trace.records(110.0, 120.0)] == [110.0, 110.0]
+        assert trace.read_bytes - before == trace.index[1][1]  # that block alone
+        assert not trace.missing and trace.footed and trace.facts["instance"] == "n0"
+
+
+def test_a_file_cut_at_any_byte_gives_every_whole_block(tmp_path):
+    path = small(tmp_path / "whole")
+    data = path.read_bytes()
+    with Trace(path) as trace:
+        index, begin = trace.index, trace.begin
+    cut = tmp_path / "cut"
+    for size in range(len(data)):
+        cut.write_bytes(data[:size])
+        if size < begin:
+            with pytest.raises(form.Bad):
+                Trace(cut)
+            continue
+        found, missing = times(cut)
+        whole = [entry for entry in index if entry[0] + entry[1] <= size]
+        assert found == [at for entry in whole for at in [entry[3]] * 2], size
+        assert missing  # it says that something is
+        if size % 7 == 0:
+            repair(cut)
+            assert times(cut) == (found, [])
+
+
+def test_a_flipped_bit_costs_its_block_alone(tmp_path):
+    path = small(tmp_path / "whole")
+    data = path.read_bytes()
+    with Trace(path) as trace:
+        index, begin = trace.index, trace.begin
+    spoilt = tmp_path / "spoilt"
+    for at in range(len(data)):
+        spoilt.write_bytes(data[:at] + bytes([data[at] ^ 1 << at % 8]) + data[at + 1:])
+        if at < begin:
+            with pytest.raises(form.Bad):
+                Trace(spoilt)
+            continue
+        found, missing = times(spoilt)
+        hit = [entry for entry in index if entry[0] <= at < entry[0] + entry[1]]
+        assert found == [entry[3] for entry in index if entry not in hit for _ in range(2)], at
+        assert missing, at
+
+
+def test_a_writer_goes_on_in_a_new_file_and_repairs_the_old(tmp_path):
+    old = small(tmp_path, end=False)
+    old.write_bytes(old.read_bytes()[:-5])
+    one = writer(tmp_path, Clock(500.0))
+    one.start()
+    one.put(req(500.0))
+    one.stop()
+    assert any("repaired, 3 blocks" in line for line in one.said)
+    assert len(list(tmp_path.iterdir())) == 2
+    assert times(old) == ([100.0, 100.0, 110.0, 110.0, 120.0, 120.0], [])
+
+
+class Failing(Store):
+    """A disk whose n-th use fails, or writes in part first."""
+
+    def __init__(self, at, part=False, forever=False):
+        self.left, self.part, self.forever = at, part, forever
+
+    def _use(self):
+        self.left -= 1
+        if self.left == 0 or self.forever and self.left < 0:
+            raise OSError(28, "No space left on device")
+
+    def open(self, path):
+        self._use()
+        return super().open(path)
+
+    def write(self, fd, data):
+        try:
+            self._use()
+        except OSError:
+            if self.part:
+                super().write(fd, data[:len(data) // 2])
+            raise
+        super().write(fd, data)
+
+    def sync(self, fd):
+        self._use()
+        super().sync(fd)
+
+
+@pytest.mark.parametrize("part", [False, True])
+@pytest.mark.parametrize("at", range(1, 12))
+def test_a_disk_that_fails_at_any_use_loses_only_what_is_said(tmp_path, at, part):
+    clock, put = Clock(), []
+    one = writer(tmp_path, clock, store=Failing(at, part))
+    for turn in range(12):
+        clock.now = 100.0 + 6 * turn
+        one.put(req(clock.now, turn))
+        put.append(clock.now)
+        one.work()
+    one.work(last=True)
+    one.work(last=True)
+    found, shed = [], 0
+    for path in sorted(tmp_path.iterdir()):
+        try:
+            with Trace(path) as trace:
+                for record in trace.records():
+                    if record.kind == SHED:
+                        shed += record.fields["count"]
+                        assert record.fields["why"] == "disk"
+                    else:
+                        found.append(record.fields["at"])
+        except form.Bad:
+            assert path.stat().st_size < 64  # a header that was never whole
+    assert sorted(set(found)) == found and set(found) <= set(put)
+    assert len(found) + shed == len(put)
+    assert [line.split(":")[0] for line in one.said][:1] == ["tracing is off"] and len(one.said) <= 2
+
+
+def test_a_disk_that_stays_full_is_said_once_and_tried_ever_more_rarely(tmp_path):
+    clock, store = Clock(), Failing(1, forever=True)
+    one = writer(tmp_path, clock, store=store)
+    for turn in range(2000):
+        clock.now += 1.0
+        one.put(req(clock.now, turn))
+        one.work()
+    assert len(one.said) == 1 and -store.left < 20
+    store.forever = False
+    clock.now += 1000
+    one.put(req(clock.now))
+    one.work()
+    one.work(last=True)
+    assert one.said[-1] == "tracing is on again"
+    found = [one for path in tmp_path.iterdir() for one in Trace(path).records()]
+    assert found[0].kind == SHED and found[0].fields["count"] + sum(one.kind == REQ for one in found) == 2001
+
+
+def test_a_flood_sheds_samples_before_decisions_and_says_what(tmp_path):
+    clock = Clock()
+    one = writer(tmp_path, clock, room=1000)
+    for at in range(10_000):
+        clock.now += 0.001
+        one.put(req(clock.now, at))
+        if at % 20 == 0:
+            one.put(make(ROUND, clock.now, at // 20 + 1, [], []))
+        assert one.keeper.size <= 1000
+    one.work(last=True)
+    with Trace(next(tmp_path.iterdir())) as trace:
+        records = list(trace.records())
+    kinds = [one.kind for one in records]
+    assert kinds.count(ROUND) == 500 and kinds.count(REQ) == 500
+    shed = [one.fields for one in records if one.kind == SHED]
+    assert [(one["kind"], one["count"]) for one in shed] == [(REQ, 9500)]
+    assert shed[0]["since"] < shed[0]["until"] <= clock.now
+
+
+def test_what_is_shed_is_never_what_is_wanted_more():
+    one = Keeper(3)
+    for at, kind in enumerate([REQ, TRY, ROUND, START, ROUND, ROUND, REQ]):
+        one.put((kind, float(at)))
+    assert [record[0] for record in one.take(9.0, 10)] == [SHED, SHED, SHED, ROUND, START, ROUND]
+
+
+def test_files_end_by_size_and_time_and_the_oldest_go(tmp_path):
+    clock = Clock()
+    one = writer(tmp_path, clock, file_bytes=2000, file_for=100.0, budget=6000)
+    one.starts = [make(START, 100.0, "n0", 1, {}, "t", {})]
+    held = None
+    for turn in range(60):
+        clock.now += 6
+        for at in range(40):
+            one.put(req(clock.now, at, key=struct.pack("<Qd", at * 7919 ** 3, clock.now)))
+        one.work()
+        if turn == 5:
+            held = Trace(sorted(tmp_path.iterdir())[0])
+    one.work(last=True)
+    names = sorted(path.name for path in tmp_path.iterdir())
+    assert held.path.name in names  # it is being read
+    assert 3 <= len(names) < 30
+    assert sum(path.stat().st_size for path in tmp_path.iterdir()) <= 6000 + 2 * 4000
+    for name in names:
+        with Trace(tmp_path / name) as trace:
+            assert next(trace.records()).kind == START
+    held.file.close()
+
+
+def test_a_clock_that_steps_back_loses_nothing(tmp_path):
+    clock = Clock()
+    one = writer(tmp_path, clock)
+    for at in (100.0, 106.0, 90.0, 96.0, 112.0):
+        clock.now = at
+        one.put(req(at))
+        one.work()
+    one.work(last=True)
+    path = next(tmp_path.iterdir())
+    assert times(path) == ([100.0, 106.0, 90.0, 96.0, 112.0], [])
+    with Trace(path) as trace:
+        assert [one.fields["at"] for one in trace.records(95.0, 107.0)] == [100.0, 106.0, 96.0]
+
+
+def test_a_reader_behind_and_a_reader_ahead():
+    newer = {**FIELDS, REQ: (*FIELDS[REQ], ("colour", "name")), "ghost": (("at", "us"), ("what", "any"))}
+    data = form.block(0, [(*req(1.0), "red"), ("ghost", 2.0, [1]), make(CLOCK, 3.0, 4.0, 0.0)], newer)
+    found, skipped = form.read_block(data[form.HEADER.size:])
+    assert [one.kind for one in found] == [REQ, CLOCK] and skipped == {"ghost": 1} and "colour" not in found[0].fields
+    older = {REQ: FIELDS[REQ][:-2]}
+    data = form.block(0, [req(1.0)[:-2]], older)
+    assert form.read_block(data[form.HEADER.size:])[0][0].fields.keys() == dict(FIELDS[REQ][:-2]).keys()
+    head = form.header({"a": 1})
+    assert form.read_header(head) == ({"a": 1}, len(head))
+    ahead = head[:8] + struct.pack("<H", form.VERSION + 1) + head[10:]
+    with pytest.raises(form.Bad, match=f"version {form.VERSION + 1}"):
+        form.read_header(ahead)
+    with pytest.raises(form.Bad, match="no trace"):
+        form.read_header(b"something else altogether")
+
+
+def test_what_does_not_fit_its_kind_is_an_error_here_and_now():
+    with pytest.raises(form.Bad, match="req has 2 fields"):
+        form.block(0, [(REQ, 1.0, 2)])
+
+
+def test_the_generated_hour_is_the_same_for_the_same_seed():
+    one, two = list(generate.records(3, 5.0, 100.0)), list(generate.records(3, 5.0, 100.0))
+    assert one == two and {record[0] for record in one} >= {START, NAME, ROUND, REQ}
+    assert one != list(generate.records(4, 5.0, 100.0))
+
+
+def test_nothing_busy_is_deleted_and_waits_grow():
+    assert over([Stored("a", 5, True), Stored("b", 5, False)], 4) == ["b"]
+    disk = Disk()
+    assert "tried again in 1 s" in disk.failed(10.0, "full") and disk.failed(11.0, "full") is None
+    assert not disk.may(12.9) and disk.may(13.0) and disk.worked() and disk.worked() is None
