--- a/oatcart/trace/__main__.py
+++ b/oatcart/trace/__main__.py
@@ -4,9 +4,9 @@
 import json
 import secrets
 import sys
+import time
 from collections.abc import Iterable
 from math import inf
-from pathlib import Path
 
 from oatcart.trace import format as form
 from oatcart.trace.merge import merge
@@ -17,6 +17,7 @@
 from oatcart.trace.tools import Strip, cut, may_repeat, story, summary
 
 BAD = 2  # exit code where a file or an argument cannot be used
+PROGRESS_AFTER = 1.0  # s
 LACKING = 1  # where something is missing, broken or different
 
 
@@ -25,13 +26,26 @@
     records, missing, facts = [], [], None
     for path in paths:
         with Trace(path) as trace:
-            records += trace.records(first, last)
+            records += trace.records(first, last, Progress(path, sys.stderr.isatty()))
             missing += [f"{path}: {what}" for what in trace.missing]
             missing += [f"{path}: {count} records of kind {kind}, unknown here" for kind, count in trace.skipped.items()]
             facts = facts or trace.facts
     return records, missing, facts or {}
 
 
+class Progress:
+    """How far a file has been read, on a terminal, once that takes a while."""
+
+    def __init__(self, path: str, shown: bool) -> None:
+        self.path, self.shown, self.began, self.percent = path, shown, time.monotonic(), 0
+
+    def __call__(self, done: int, of: int) -> None:
+        percent = 100 * (done + 1) // of
+        if self.shown and percent != self.percent and time.monotonic() - self.began > PROGRESS_AFTER:
+            self.percent = percent
+            print(f"\r{self.path}: {percent}%", end="\n" if percent == 100 else "", file=sys.stderr, flush=True)
+
+
 def write(path: str, facts: dict, records: Iterable[Record], fields: dict) -> int:
     """A trace of records that were read; hands back how many. An existing file is left as it is."""
     count, index = 0, []
--- a/oatcart/trace/generate.py
+++ b/oatcart/trace/generate.py
@@ -55,8 +55,7 @@
         if next_req < look:
             now = next_req
             next_req += rng.expovariate(a_second)
-            for record in _req(rng, now, ids, names, host, met, shares):
-                yield record
+            yield from _req(rng, now, ids, names, host, met, shares)
             continue
         now = look
         look += 0.25
--- a/oatcart/trace/plan.py
+++ b/oatcart/trace/plan.py
@@ -63,7 +63,7 @@
                for kind, loss in self.losses.items()]
         self.losses = {}
         found = []
-        for rank, queue in self.waiting.items():
+        for queue in self.waiting.values():
             while queue and len(found) < most:
                 found.append(queue.popleft())
             if len(found) >= most:
--- a/oatcart/trace/reader.py
+++ b/oatcart/trace/reader.py
@@ -3,7 +3,7 @@
 import fcntl
 import os
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from math import inf
 from pathlib import Path
 
@@ -92,10 +92,12 @@
             at += max(1, len(data) - len(form.BLOCK) + 1)
         return self.length
 
-    def records(self, first: float = -inf, last: float = inf) -> Iterator[Record]:
+    def records(self, first: float = -inf, last: float = inf,
+                progress: Callable[[int, int], None] = lambda done, of: None) -> Iterator[Record]:
         """The records from `first` up to but not at `last`, by the instance's clock, in the order of the file. Only
-        blocks that may hold some are read; a spoilt one is said to be missing."""
-        for offset, length, count, begins, ends in self.index:
+        blocks that may hold some are read; a spoilt one is said to be missing. `progress`: blocks gone through, of all."""
+        for at, (offset, length, count, begins, ends) in enumerate(self.index):
+            progress(at, len(self.index))
             if ends < first or begins >= last:
                 continue
             data = self._at(offset, length)
--- a/oatcart/trace/tools.py
+++ b/oatcart/trace/tools.py
@@ -2,17 +2,16 @@
 reading what is handed in."""
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from hashlib import blake2b
 from math import inf
 
 from hdrh.histogram import HdrHistogram
 
 from oatcart import interface as our
-from oatcart.trace.records import (CLOCK, DONE, ERRORED, IN, NAME, OUT, REQ, ROUND, SHED, START, TRY, Record)
+from oatcart.trace.records import CLOCK, DONE, NAME, REQ, ROUND, SHED, START, TRY, Record
 
 TOOK_MOST = 3_600_000_000  # us; an hour
-ALWAYS = (START, NAME, CLOCK, SHED)  # kinds without which a cut could not be read
 PSEUDONYM = 12  # letters; enough that a million names do not meet
 
 
@@ -188,7 +187,3 @@
     """By request kind, from a start record, whether a req may run more than once."""
     return {name: kind[2] == our.REPLAYABLE for name, kind in
             zip(start["names"].get("kinds", ()), start["records"]["kinds"], strict=False)}
-
-
-Progress = Callable[[int], None]
-__all__ = ["ERRORED", "IN", "OUT", "Strip", "cut", "may_repeat", "names_in", "reasons", "story", "summary"]
--- a/oatcart/trace/writer.py
+++ b/oatcart/trace/writer.py
@@ -3,6 +3,7 @@
 import fcntl
 import os
 import threading
+import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -54,8 +55,10 @@
 
     def __init__(self, folder: Path, instance: str, facts: dict, clock: Callable[[], float],
                  say: Callable[[str, str], None], file_bytes: int = 64 << 20, file_for: float = 3600.0,
-                 budget: int = 1 << 30, room: int = 20 * BLOCK_RECORDS, store: Store | None = None) -> None:
+                 budget: int = 1 << 30, room: int = 20 * BLOCK_RECORDS, store: Store | None = None,
+                 unix: Callable[[], float] = time.time) -> None:
         self.folder, self.instance, self.facts, self.clock, self.say = Path(folder), instance, facts, clock, say
+        self.unix = unix
         self.budget, self.store = budget, store or Store()
         self.keeper, self.pace, self.disk = Keeper(room), Pace(file_bytes, file_for), Disk()
         self.lock, self.stopping = threading.RLock(), threading.Event()
@@ -153,7 +156,7 @@
         path = self.folder / f"{self.instance}-{int(now * 1000):016}-{self.files:06}{SUFFIX}"
         self.fd, self.index, self.size, self.number = self.store.open(path), [], 0, 0
         self.pace.opened(now)
-        data = form.header(self.facts | {"instance": self.instance, "opened": now})
+        data = form.header(self.facts | {"instance": self.instance, "opened": now, "unix": self.unix()})
         self.store.write(self.fd, data)
         self.size = len(data)
         if self.starts:
--- a/oatcart/xds/nested.py
+++ b/oatcart/xds/nested.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 from math import inf
 
 from oatcart.net.conductor import Rounds
--- a/tests/trace/test_tools.py
+++ b/tests/trace/test_tools.py
@@ -18,6 +18,7 @@
 from oatcart.trace.merge import before, clocks, links, merge
 from oatcart.trace.reader import Trace
 from oatcart.trace.records import CLOCK, FIELDS, IN, OUT, REQ, ROUND, TRY, Record, make
+from oatcart.trace.reqs import Reqs
 from oatcart.trace.tap import Tap, again, start_record, started
 from oatcart.trace.tools import Strip, names_in, story, summary
 
@@ -123,6 +124,23 @@
     assert story(records, req=("p1", 8))[0].startswith("2.000000 p1:8 fee-charge done by n3")
 
 
+def test_a_proxy_notes_its_reqs():
+    out = []
+    one = Reqs("p1", "east", out.append)
+    first, fee, turned = one.begun("lookup"), one.begun("fee-charge", b"k", 3.0), one.begun("lookup")
+    one.tried(first, "n1", 1.0)
+    one.tried(fee, "n2", 1.5)
+    one.failed(first, "RESET", 1.25)
+    one.tried(first, "n3", 1.25)
+    one.ended(turned, "denied", 1.75)
+    one.ended(fee, "errored", 2.0)
+    one.ended(first, "done", 2.25)
+    assert out == [make(TRY, 1.0, 1, b"", "p1", "lookup", 1, "n1", "RESET", 0.25),
+                   make(REQ, 1.75, 3, b"", "p1", "lookup", "east", "", "denied", 0.0, 0, 1.0),
+                   make(REQ, 1.5, 2, b"k", "p1", "fee-charge", "east", "n2", "errored", 0.5, 1, 3.0),
+                   make(REQ, 1.25, 1, b"", "p1", "lookup", "east", "n3", "done", 1.0, 2, 1.0)] and not one.open
+
+
 @pytest.fixture(scope="module")
 def minute(tmp_path_factory):
     """A trace file of 20 generated seconds."""
--- a/tests/xds/table.py
+++ b/tests/xds/table.py
@@ -1,7 +1,6 @@
 """A conductor with the xDS front on loopback, its list handed in; for the tests of the transport."""
 
 import asyncio
-import json
 import socket
 
 from oatcart.xds.configuration import Source, Xds
--- a/tests/xds/test_decisions.py
+++ b/tests/xds/test_decisions.py
@@ -7,7 +7,7 @@
 
 from oatcart import interface as our
 from oatcart.xds import view
-from oatcart.xds.front import CLUSTER, ENDPOINTS, MEMBER, ROUTE
+from oatcart.xds.front import CLUSTER, ENDPOINTS, ROUTE
 from oatcart.xds.limits import Refused
 from oatcart.xds.loads import Books, ClusterReport, Tally
 from oatcart.xds.pushes import ABSENT, Line, Refusal
--- a/tests/xds/test_machine.py
+++ b/tests/xds/test_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
-from sim import KINDS, ZONES, Stage
+from sim import KINDS, Stage
 
 from oatcart import interface as our
 from oatcart.xds import view
