Stand-in client: a leftover of its first request is gone

Need: a field that nothing read was still written. Change: the node goes along with a stream's first request as before, without it. Measured: the tests that use the client pass.

--- a/oatcart/xds/standin/client.py
+++ b/oatcart/xds/standin/client.py
@@ -63,14 +63,10 @@
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
             pass
 
-    def _node(self) -> base_pb2.Node | None:
-        first, self.first = not self.fresh, False
-        return self.node if first else None
-
     def ask(self, kind: str, names: list[str] = (), unsubscribe: list[str] = (), nonce: str | None = None,
             refusal: str = "") -> None:
         """Subscribe to names; without any, to all. On a first request the versions held go along."""
-        node, first = self._node(), kind not in self.fresh
+        node, first = None if self.fresh else self.node, kind not in self.fresh
         self.fresh.add(kind)
         for name in unsubscribe:
             self.names[kind].pop(name, None)
