Tables dealt in parts where the channel cannot carry whole ones within the grace

At fault: tables_of (one table of all nodes whatever it costs), claim (what waits in the queue delays drains, which nothing looked at), turn_nodes (all proxies told of each node, and the line told again by publish). Ruled out: lost watches (the log has each revision within 0.2 s of the others), silent streams, processor (0.3 of a core in the worst second), messages (8 of 12).

Now a table is a part where all tables of all proxies would take longer than the grace: as many nodes as half the grace carries, each node in two parts, half of them near; drains take down lines at who holds them. The queue that may wait before a drain is held to half the grace too, and new lines are booked with the word whether the node is out that proxies with others' orders need. The grace and the proxies a conductor usually has are handed to the module.

--- a/oatcart/handover.py
+++ b/oatcart/handover.py
@@ -1,5 +1,7 @@
 """What both hosts are handed in the same form: the settings object and load reports."""
 
+from math import inf
+
 from oatcart import interface as our
 
 AMOUNT_MOST = 1e13  # any unit: over all that is told, Unix time in ms the largest; sums of more would overflow
@@ -58,6 +60,8 @@
         admitting=_ADMITS.get(plane.get("admit"), our.NOT_AT_ALL),
         crossing_price=(settings.get("penalties") or {}).get("crossZone", 0.0),
         may_probe=bool((settings.get("policyLimits") or {}).get("probes")),
+        grace=seconds(rules, "stopSendingWithin", inf),
+        usual_proxies=plane.get("proxyCount", 0) / max(1, settings.get("balancers") or 1),
     )
 
 
--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -4,9 +4,9 @@
 that came in. Arrivals, limits and the order writer: `oatcart/interface.py`; departures: `docs/design.md`.
 """
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
-from math import inf
+from math import ceil, inf
 from random import Random
 from statistics import median
 
@@ -22,6 +22,9 @@
 SLOW_MOST, DRAINS_LEAST = 3.0, 4  # s of channel for a table, each widens the threshold; lines worth a head
 ACK_WAIT, DRAIN_WAIT = 2.0, 1.0  # s; the design's, for most proxies; drains share late messages so long
 ORDINARY_PART, RETURNS_PART, URGENT_PART, QUEUE_PART = 0.5, 0.6, 0.7, 0.9  # of the caps; the rest for drains
+CARRIED_PART, LINES_LEAST, PARTS_OF_NODE = 0.5, 6, 2  # of the grace: all lines of all proxies fit in, so any may
+# go in time; a line fewer and one sick node in two draws is met too often; parts that share a node level its load
+PART_OVER = 1.5  # parts up to so many times the size that fits are still good for joiners, and none grows for less
 MISSING_PART, LACKING = 0.75, 0.1  # of the messages, once this share of a table's nodes has no line there yet
 NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing costs 8 points or more
 LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
@@ -80,6 +83,7 @@
     rates: list  # reqs a second by kind
     sent: deque = field(default_factory=deque)  # when messages went to it
     bound: bool = False  # to its tables
+    tables: list = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -88,6 +92,8 @@
     kinds: tuple[int, ...]
     zones: tuple[int, ...]  # empty: nodes of all zones
     near: int  # the zone whose nodes are preferred; -1: none
+    size: float = inf  # so many nodes are dealt to it where the channel cannot carry all
+    dealt: set = field(default_factory=set)
     lines: dict = field(default_factory=dict)
     pending: dict = field(default_factory=dict)  # changes that found no room yet
     proxies: dict = field(default_factory=dict)
@@ -131,11 +137,13 @@
 @dataclass(slots=True)
 class Channel:  # counts lines and messages on their way, so that queue and message cap are kept
     limits: our.ChannelLimits
+    grace: float  # s
     queued: float = 0.0
     at: float = 0.0
 
-    def claim(self, proxies: dict[int, Proxy], lines: int, part: float, least: int = 0) -> int:
-        """Book so many lines to each proxy, or as many from the least on as this part of the caps allows."""
+    def claim(self, proxies: dict[int, Proxy], lines: int, part: float, least: int = 0, new: int = 0) -> int:
+        """Book so many lines to each proxy, or as many from the least on as this part of the caps allows. The new
+        ones come first, and cost who may bring withdrawals another line each."""
         limits = self.limits
         fresh = [proxy for proxy in proxies.values() if not proxy.sent or proxy.sent[-1] < self.at]
         for proxy in fresh:
@@ -144,17 +152,22 @@
             if limits.messages_most and len(proxy.sent) + 1 >= limits.messages_most * part:  # one is spare
                 return 0
         heads = len(fresh) * (limits.head + 1)
+        held = sum(proxy.held for proxy in proxies.values()) if new else 0
         if limits.queue_most and proxies:  # drains by the dozen overran it too
-            queue = limits.queue_most * (part if part < URGENT_PART else QUEUE_PART)
-            room = (queue - self.queued - heads) / len(proxies)
+            queue = min(limits.queue_most, self.carries()) * part if part < URGENT_PART else \
+                limits.queue_most * QUEUE_PART  # what waits delays drains too
+            room = (queue - self.queued - heads) / (len(proxies) + held)
             if room < (least or lines):
                 return 0
             lines = min(lines, int(room))
-        self.queued += heads + lines * len(proxies)
+        self.queued += heads + lines * len(proxies) + min(lines, new) * held
         for proxy in fresh:
             proxy.sent.append(self.at)
         return lines
 
+    def carries(self) -> float:  # lines that go out in their part of the grace
+        return self.limits.line_rate * self.grace * CARRIED_PART
+
     def turn(self, now: float) -> None:
         self.queued, self.at = max(0.0, self.queued - (now - self.at) * self.limits.line_rate), now
 
@@ -162,11 +175,12 @@
 class Conductor:
     def __init__(self, *, seed: int, kinds: list[our.ReqKind], roll: our.RollManners,
                  channel: our.ChannelLimits, cold: our.ColdLimits, report_period: float, admitting: str,
-                 crossing_price: float, may_probe: bool) -> None:
+                 crossing_price: float, may_probe: bool, grace: float = inf, usual_proxies: float = 0.0) -> None:
         self.uniform, self.kinds, self.roll, self.cold = Random(seed).uniform, kinds, roll, cold
         self.period = self.heard_over = report_period  # as set, and as sums in fact cover it
         self.admitting, self.crossing_price, self.may_probe = admitting, crossing_price, may_probe
-        self.channel, self.nodes, self.proxies = Channel(channel), {}, {}  # by number
+        self.channel, self.nodes, self.proxies = Channel(channel, grace), {}, {}  # by number
+        self.usual_proxies, self.parted = usual_proxies, False  # of a conductor; are tables dealt in parts
         self.lean, self.bound = {}, set()  # by zone: its part in open tables; zones kinds can't leave
         self.target = min((req.response_target for req in kinds), default=1.0)  # the mean of what comes
         self.tables, self.answers, self.mark = {}, 0.0, 0  # by kinds and nodes; heard of all; the last mark
@@ -200,6 +214,9 @@
             for table in self.tables.values():
                 self.steer(table)
                 self.set_levels(table)
+        self.deal()
+        for table in self.tables.values() if self.parted else ():
+            self.take_down(table)
         self.turn_nodes(True)  # drains first, returns after the lines that they need
         self.bind_joined()
         for table in self.tables.values():
@@ -252,21 +269,81 @@
         self.take_left(proxy)
         self.proxies[proxy] = Proxy(zone, not blank, [usual / max(1, len(self.kinds))] * len(self.kinds))
 
-    def tables_of(self, zone: int) -> list[Table]:
-        """The tables of a zone's proxies: one for each set of nodes open to some kinds."""
+    def groups(self, zone: int) -> dict[tuple, dict[int, Node]]:
+        """The nodes open to a zone's proxies, by the kinds that may go there, their zones and the one preferred."""
         groups: dict[tuple, tuple[int, ...]] = {}
         for kind, req in enumerate(self.kinds):
             near = zone if self.crossing_price >= NEAR_PRICE and not req.zones else -1
             open_to = ((zone,), -1) if req.home_zone else (req.zones, near)
             groups[open_to] = (*groups.get(open_to, ()), kind)
-        return [self.tables.setdefault((kinds, zones, near), Table(len(self.tables), kinds, zones, near))
-                for (zones, near), kinds in groups.items()]
+        return {(kinds, zones, near): self.pool(zones) for (zones, near), kinds in groups.items()}
+
+    def size_of(self, pools: dict[tuple, dict[int, Node]], key: tuple) -> float:
+        """How many nodes a table may hold: all, unless all tables of all proxies take the channel beyond the grace."""
+        lines, whole = len(pools[key]), sum(map(len, pools.values()))
+        proxies, head = max(1.0, self.usual_proxies, len(self.proxies)), self.channel.limits.head + 1
+        if proxies * (whole + head) * CARRIED_PART <= self.channel.carries():
+            return inf
+        return max(LINES_LEAST, (self.channel.carries() / proxies - head) * lines // whole)
+
+    def tables_of(self, zone: int) -> list[list[Table]]:
+        """For each set of nodes open to some kinds, the tables that a joiner may have: one shared by all where the
+        channel carries it whole, else parts."""
+        pools, tables = self.groups(zone), []
+        for key in pools:
+            size = self.size_of(pools, key)
+            fit = [one for one in self.tables.values()
+                   if (one.kinds, one.zones, one.near) == key and one.size <= PART_OVER * size]
+            for _ in range(len(fit), 1 if size == inf else ceil(PARTS_OF_NODE * len(pools[key]) / size)):
+                fit.append(Table(len(self.tables), *key, size))
+                self.tables[len(self.tables)] = fit[-1]
+            tables.append(fit)
+        return tables
+
+    def deal(self) -> None:
+        """Where tables are parts, deal each as many nodes as it may hold, half of them near ones, and those first
+        that fewest parts hold; each node stands in one at least."""
+        self.parted = any(table.size < inf for table in self.tables.values())
+        groups: dict[tuple, list[Table]] = {}
+        for table in self.tables.values() if self.parted else ():
+            groups.setdefault((table.kinds, table.zones, table.near), []).append(table)
+        for (_, zones, near), tables in groups.items():
+            pool = {at: node for at, node in self.pool(zones).items() if not node.out}
+            parts = [table for table in tables if table.size < inf]
+            for table in parts:
+                table.dealt &= pool.keys()
+            cover = Counter(at for table in parts for at in table.dealt)
+            for table in parts:
+                missing = int(min(table.size, len(pool))) - len(table.dealt)
+                if missing > 0:
+                    rest = sorted(pool.keys() - table.dealt, key=lambda at: (cover[at], self.uniform(0, 1)))
+                    close = [at for at in rest if pool[at].zone == near]
+                    close = close[:max(0, int(table.size) // 2 - sum(pool[at].zone == near for at in table.dealt))]
+                    rest = [*close, *(at for at in rest if at not in close)][:missing]
+                    table.dealt.update(rest)
+                    cover.update(rest)
+            for at in pool.keys() - cover.keys() if parts else ():
+                min(parts, key=lambda table: len(table.dealt) - table.size).dealt.add(at)
+
+    def open_to(self, table: Table) -> dict[int, Node]:
+        """The ready nodes of a table: those dealt to it, if it is a part."""
+        pool = self.pool(table.zones)
+        if self.parted:  # lines alone tell what is out
+            pool = {at: node for at, node in pool.items() if not node.out}
+        return pool if table.size == inf else {at: pool[at] for at in sorted(table.dealt) if at in pool}
 
     def bind_joined(self) -> None:
         """As there is room (all at once overran the queue), short tables first: the bound learn of drains."""
         listed = any(node.turned_at > LONG_AGO for node in self.nodes.values())  # else their own are better
         joiners = {number: proxy for number, proxy in self.proxies.items() if listed and not proxy.bound}
-        pairs = [(number, table) for number, proxy in joiners.items() for table in self.tables_of(proxy.zone)]
+        fitting, bound = {zone: self.tables_of(zone) for zone in {one.zone for one in joiners.values()}}, Counter()
+        self.deal()
+        for number, proxy in joiners.items():
+            if not any(number in table.proxies for table in proxy.tables):  # else it waits for the others of its set
+                proxy.tables = [min(fit, key=lambda one: len(one.proxies) + bound[one.place])
+                                for fit in fitting[proxy.zone]]
+                bound.update(table.place for table in proxy.tables)
+        pairs = [(number, table) for number, proxy in joiners.items() for table in proxy.tables]
         for table in [one for one in self.tables.values() if joiners and not one.proxies]:
             self.publish(table)
         known = any(node.shut for node in self.nodes.values())
@@ -278,7 +355,7 @@
                 self.orders.bind(table.place, at, sum(1 << kind for kind in table.kinds))
                 table.proxies[at] = joiners[at]
         for number, proxy in joiners.items():
-            proxy.bound = all(number in table.proxies for table in self.tables_of(proxy.zone))
+            proxy.bound = all(number in table.proxies for table in proxy.tables)
         for table in self.tables.values() if joiners else ():
             self.set_levels(table)
 
@@ -336,7 +413,8 @@
             node.good, node.took = node.good * keep, node.took * keep
             node.tried, node.errored = node.tried * keep, node.errored * keep
         for table in self.tables.values():  # no proxy is left without a line by evidence alone
-            for node in () if self.in_use(table) else self.pool(table.zones).values():
+            pool = self.pool(table.zones).values()
+            for node in () if any(not node.out for node in pool) else pool:
                 node.out = False
 
     def sick(self, node: Node, ready: list[Node]) -> bool:
@@ -359,8 +437,8 @@
 
     def turn_nodes(self, out: bool) -> None:
         """Keep drained, gone, withdrawn nodes out of all tables that proxies hold, but none only heard of."""
-        due = {place: node for place, node in self.nodes.items()
-               if (node.out or node.state != our.READY) == out != node.shut and node.turned_at > LONG_AGO}
+        due = {place: node for place, node in self.nodes.items() if not (out and self.parted)
+               and (node.out or node.state != our.READY) == out != node.shut and node.turned_at > LONG_AGO}
         for one in self.tables.values() if not out else ():  # none is let in on a line of its former life
             due = {at: node for at, node in due.items() if one.lines.get(at, 0) <= one.pending.get(at, inf)}
         told = min([node.turned_at for node in due.values() if node.state != our.READY], default=self.now)
@@ -417,7 +495,7 @@
 
     def wanted(self, table: Table) -> dict[int, int]:
         """The table as it should stand: the rounded score of each listed node, eased in after a start."""
-        pool, want = self.pool(table.zones), {}
+        pool, want = self.open_to(table), {}
         for place, node in pool.items():
             lean = 1.0 if table.zones else self.lean.get(node.zone, 1.0)
             part = ramp(self.now - node.eased_at) * (lean if node.zone in self.bound else 1.0)
@@ -447,11 +525,19 @@
             for place in drop:
                 del want[place]
 
+    def take_down(self, table: Table) -> None:
+        """Lines of nodes that drain, are gone or withdrawn, from who is bound: half of what a withdrawal costs."""
+        due = [at for at in sorted(table.lines) if self.nodes[at].out or self.nodes[at].state != our.READY]
+        room = self.channel.claim(table.proxies, len(due), 1.0, min(len(due), DRAINS_LEAST)) if due else 0
+        for at in sorted(due, key=lambda at: (self.nodes[at].state == our.READY, self.nodes[at].turned_at))[:room]:
+            self.orders.line(table.place, at, 0)
+            del table.lines[at]
+
     def publish(self, table: Table, scored: bool = False) -> None:
         """Send what changed, once most proxies have the last change or the wait is over."""
         want = self.wanted(table)
         both = {at: (table.lines.get(at, 0), want.get(at, 0)) for at in sorted({*table.lines, *want})}
-        slow = 1.0 + min(SLOW_MOST, len(want) * len(table.proxies) / max(1.0, self.channel.limits.line_rate))
+        slow = 1.0 + min(SLOW_MOST, len(want) * len(self.proxies) / max(1.0, self.channel.limits.line_rate))
         falls = {at: self.nodes[at] for at, (old, new) in both.items() if 0 < new < old / 2}
         fresh = {at for at, node in falls.items() if ramp(self.now - node.eased_at) < 1.0}  # can't wait
         changes = {at: new for at, (old, new) in both.items() if (old > 0) != (new > 0)
@@ -464,7 +550,8 @@
         idle = fresh and not self.channel.queued
         due = [at for at in changes if usual or bare or idle or at in fresh or fresh and not both[at][0]]
         part = RETURNS_PART if not usual else MISSING_PART if lacks else ORDINARY_PART
-        room = self.channel.claim(table.proxies, len(due), part, 1) if due else 0
+        new = sum(not both[at][0] for at in due)
+        room = self.channel.claim(table.proxies, len(due), part, 1, new) if due else 0
         rank = {at: (self.nodes[at].shut, both[at][0] > 0, -abs(changes[at] - both[at][0])) for at in due}
         sent = {at: changes.pop(at) for at in sorted(due, key=rank.__getitem__)[:room]}
         table.pending = changes
@@ -509,7 +596,7 @@
                 self.orders.admit(table.place, 1 << kind, self.quota(table, kind, level), tries)
 
     def in_use(self, table: Table) -> list[Node]:
-        return [node for node in self.pool(table.zones).values() if not node.out]
+        return [node for node in self.open_to(table).values() if not node.out]
 
     def work(self, table: Table) -> dict[int, float]:
         return {kind: self.kinds[kind].response_target * sum(p.rates[kind] for p in table.proxies.values())
@@ -519,7 +606,8 @@
         """How many nodes what comes to a table would fill, by what is let in over all."""
         whole = sum(work * other.levels.get(kind, (1.0, 0))[0]
                     for other in self.tables.values() for kind, work in self.work(other).items())
-        return len(self.pool()) * (sum(self.work(table).values()) / whole if whole else 1.0)
+        part = sum(self.work(table).values()) / whole if whole else 1.0
+        return len(self.pool()) * part * (1 if table.size == inf else PARTS_OF_NODE)  # which other parts fill too
 
     def lets_in(self, table: Table) -> float:
         """The share let in: what the level says, and what a pool that is mostly cold surely stands."""
--- a/oatcart/tables.py
+++ b/oatcart/tables.py
@@ -176,7 +176,8 @@
     def _with_turned(self, proxy: Proxy, met: list[int], parts: list[Part]) -> list[Part]:
         """A proxy keeps what any conductor withdrew, so each node that it meets is told as it stands now."""
         turned = {node: out for node in met
-                  if proxy.shut.get(node, False if proxy.blank else None) != (out := node in self.shut)}
+                  if proxy.shut.get(node, False if proxy.blank or node in self.dropped else None)
+                  != (out := node in self.shut)}
         if turned:
             proxy.shut |= turned
             parts = parts or [Part()]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -28,7 +28,7 @@
 REPEATS = {"replayable": our.REPLAYABLE, "uniqued": our.UNIQUED, "non-replayable": our.NON_REPLAYABLE}
 PLAIN = {"must_ask": 0, "line_rate": 1000, "head": 4, "queue_most": 2000, "messages_most": 0, "messages_over": 10,
          "warm_after": 16, "share_at_start": 0.2, "fall_multiple": 4, "crossing_price": 0,
-         "may_probe": 1, "nominal_told": 0, "rate": 0}
+         "may_probe": 1, "nominal_told": 0, "rate": 0, "grace": 1e9}
 COMPARE = {"=": operator.eq, "<": operator.lt, ">": operator.gt}
 
 
@@ -82,7 +82,7 @@
     return Conductor(seed=1, kinds=kinds or [our.ReqKind(1, 1, our.REPLAYABLE)], roll=pick(our.RollManners),
                      channel=pick(our.ChannelLimits), cold=pick(our.ColdLimits), report_period=1.0,
                      admitting=our.BY_RATE if cfg["rate"] else our.BY_SHARE,
-                     crossing_price=cfg["crossing_price"], may_probe=bool(cfg["may_probe"]))
+                     crossing_price=cfg["crossing_price"], may_probe=bool(cfg["may_probe"]), grace=cfg["grace"])
 
 
 def entry(word):
@@ -163,10 +163,14 @@
                 now, told = float(time), []
                 if checked:
                     orders.said, checked = [], False
-            case ["want" | "deny" | "table", *_]:
+            case ["want" | "deny" | "table" | "size" | "holders", *_]:
                 run()
                 checked = True
-                if words[0] == "table":
+                if words[0] in ("size", "holders"):  # standing lines of a table, tables with a line for a node
+                    standing = [at for at, weight in orders.tables.items() if weight]
+                    found = [sum(at[words[0] == "holders"] == int(words[1][1:]) for at in standing)]
+                    words = ["want", *words]
+                elif words[0] == "table":
                     found = [orders.tables.get((int(words[1][1:]), int(words[2][1:])), 0)]
                     words = ["want", *words]
                 else:
