Movers are bound first, to parts half as large, as each of their lines is told twice

Ruled out: the take-down of lines (each holder's D line came within 0.3 s of the list's news) and the watch (news within 0.2 s on all but one conductor).

Scenario parts_for_movers fails without it.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -22,9 +22,9 @@
 SLOW_MOST, DRAINS_LEAST = 3.0, 4  # s of channel for a table, each widens the threshold; lines worth a head
 ACK_WAIT, DRAIN_WAIT = 2.0, 1.0  # s; the design's, for most proxies; drains share late messages so long
 ORDINARY_PART, RETURNS_PART, URGENT_PART, QUEUE_PART = 0.5, 0.6, 0.7, 0.9  # of the caps; the rest for drains
-CARRIED_PART, LINES_LEAST, PARTS_OF_NODE = 0.5, 6, 2  # of the grace: all lines of all proxies fit in, so any may
-# go in time; a line fewer and one sick node in two draws is met too often; parts that share a node level its load
-PART_OVER = 1.5  # parts up to so many times the size that fits are still good for joiners, and none grows for less
+CARRIED_PART, LINES_LEAST, PARTS_OF_NODE = 0.5, 6, 2  # of the grace: all lines of all proxies go out in it, the
+# rest is for what waits; fewer, and two draws meet a sick node too often; parts that share a node level its load
+PART_OVER = 1.5  # joiners may have parts up to so many times the size that fits now: fewer tables
 MISSING_PART, LACKING = 0.75, 0.1  # of the messages, once this share of a table's nodes has no line there yet
 NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing costs 8 points or more
 LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
@@ -142,8 +142,8 @@
     at: float = 0.0
 
     def claim(self, proxies: dict[int, Proxy], lines: int, part: float, least: int = 0, new: int = 0) -> int:
-        """Book so many lines to each proxy, or as many from the least on as this part of the caps allows. The new
-        ones come first, and cost who may bring withdrawals another line each."""
+        """Book so many lines to each proxy, or as many from the least on as this part of the caps allows. New ones
+        come first, and cost who may bring withdrawals another line each."""
         limits = self.limits
         fresh = [proxy for proxy in proxies.values() if not proxy.sent or proxy.sent[-1] < self.at]
         for proxy in fresh:
@@ -154,8 +154,9 @@
         heads = len(fresh) * (limits.head + 1)
         held = sum(proxy.held for proxy in proxies.values()) if new else 0
         if limits.queue_most and proxies:  # drains by the dozen overran it too
-            queue = min(limits.queue_most, self.carries()) * part if part < URGENT_PART else \
-                limits.queue_most * QUEUE_PART  # what waits delays drains too
+            queue = limits.queue_most * QUEUE_PART
+            if part not in (URGENT_PART, 1.0):  # what waits delays drains too
+                queue = min(limits.queue_most, self.carries()) * min(part, RETURNS_PART)
             room = (queue - self.queued - heads) / (len(proxies) + held)
             if room < (least or lines):
                 return 0
@@ -175,7 +176,7 @@
 class Conductor:
     def __init__(self, *, seed: int, kinds: list[our.ReqKind], roll: our.RollManners,
                  channel: our.ChannelLimits, cold: our.ColdLimits, report_period: float, admitting: str,
-                 crossing_price: float, may_probe: bool, grace: float = inf, usual_proxies: float = 0.0) -> None:
+                 crossing_price: float, may_probe: bool, grace: float = inf, usual_proxies: float = 0) -> None:
         self.uniform, self.kinds, self.roll, self.cold = Random(seed).uniform, kinds, roll, cold
         self.period = self.heard_over = report_period  # as set, and as sums in fact cover it
         self.admitting, self.crossing_price, self.may_probe = admitting, crossing_price, may_probe
@@ -220,7 +221,7 @@
         self.turn_nodes(True)  # drains first, returns after the lines that they need
         self.bind_joined()
         for table in self.tables.values():
-            self.publish(table, scored)
+            self.publish(table, scored, all(proxy.bound for proxy in self.proxies.values()))
         self.turn_nodes(False)
         self.drop_gone()
 
@@ -270,7 +271,7 @@
         self.proxies[proxy] = Proxy(zone, not blank, [usual / max(1, len(self.kinds))] * len(self.kinds))
 
     def groups(self, zone: int) -> dict[tuple, dict[int, Node]]:
-        """The nodes open to a zone's proxies, by the kinds that may go there, their zones and the one preferred."""
+        """The nodes open to a zone's proxies, by the kinds that go there, their zones and the one preferred."""
         groups: dict[tuple, tuple[int, ...]] = {}
         for kind, req in enumerate(self.kinds):
             near = zone if self.crossing_price >= NEAR_PRICE and not req.zones else -1
@@ -278,20 +279,21 @@
             groups[open_to] = (*groups.get(open_to, ()), kind)
         return {(kinds, zones, near): self.pool(zones) for (zones, near), kinds in groups.items()}
 
-    def size_of(self, pools: dict[tuple, dict[int, Node]], key: tuple) -> float:
-        """How many nodes a table may hold: all, unless all tables of all proxies take the channel beyond the grace."""
+    def size_of(self, pools: dict[tuple, dict[int, Node]], key: tuple, held: bool) -> float:
+        """How many nodes a table may hold: all, unless all proxies' tables take the channel beyond the grace."""
         lines, whole = len(pools[key]), sum(map(len, pools.values()))
-        proxies, head = max(1.0, self.usual_proxies, len(self.proxies)), self.channel.limits.head + 1
-        if proxies * (whole + head) * CARRIED_PART <= self.channel.carries():
+        proxies = max(1.0, self.usual_proxies, len(self.proxies))
+        each = self.channel.carries() / proxies - self.channel.limits.head - 1 - len(pools) - len(self.kinds)
+        if whole * CARRIED_PART <= each:
             return inf
-        return max(LINES_LEAST, (self.channel.carries() / proxies - head) * lines // whole)
+        return max(LINES_LEAST, each * lines // (whole * (1 + held)))  # who may bring withdrawals is told twice
 
-    def tables_of(self, zone: int) -> list[list[Table]]:
-        """For each set of nodes open to some kinds, the tables that a joiner may have: one shared by all where the
-        channel carries it whole, else parts."""
+    def tables_of(self, zone: int, held: bool) -> list[list[Table]]:
+        """For each set of nodes open to some kinds, the tables that a joiner may have: one shared by all where
+        the channel carries it whole, else parts."""
         pools, tables = self.groups(zone), []
         for key in pools:
-            size = self.size_of(pools, key)
+            size = self.size_of(pools, key, held)
             fit = [one for one in self.tables.values()
                    if (one.kinds, one.zones, one.near) == key and one.size <= PART_OVER * size]
             for _ in range(len(fit), 1 if size == inf else ceil(PARTS_OF_NODE * len(pools[key]) / size)):
@@ -301,8 +303,8 @@
         return tables
 
     def deal(self) -> None:
-        """Where tables are parts, deal each as many nodes as it may hold, half of them near ones, and those first
-        that fewest parts hold; each node stands in one at least."""
+        """Where tables are parts, deal each as many nodes as it may hold, half of them near ones, and those
+        first that fewest parts hold; each node stands in one at least."""
         self.parted = any(table.size < inf for table in self.tables.values())
         groups: dict[tuple, list[Table]] = {}
         for table in self.tables.values() if self.parted else ():
@@ -317,8 +319,8 @@
                 missing = int(min(table.size, len(pool))) - len(table.dealt)
                 if missing > 0:
                     rest = sorted(pool.keys() - table.dealt, key=lambda at: (cover[at], self.uniform(0, 1)))
-                    close = [at for at in rest if pool[at].zone == near]
-                    close = close[:max(0, int(table.size) // 2 - sum(pool[at].zone == near for at in table.dealt))]
+                    half = int(table.size) // 2 - sum(pool[at].zone == near for at in table.dealt)
+                    close = [at for at in rest if pool[at].zone == near][:max(0, half)]
                     rest = [*close, *(at for at in rest if at not in close)][:missing]
                     table.dealt.update(rest)
                     cover.update(rest)
@@ -336,13 +338,14 @@
         """As there is room (all at once overran the queue), short tables first: the bound learn of drains."""
         listed = any(node.turned_at > LONG_AGO for node in self.nodes.values())  # else their own are better
         joiners = {number: proxy for number, proxy in self.proxies.items() if listed and not proxy.bound}
-        fitting, bound = {zone: self.tables_of(zone) for zone in {one.zone for one in joiners.values()}}, Counter()
+        alike, meant = {(proxy.zone, proxy.held) for proxy in joiners.values()}, Counter()
+        fitting = {one: self.tables_of(*one) for one in sorted(alike)}
         self.deal()
         for number, proxy in joiners.items():
-            if not any(number in table.proxies for table in proxy.tables):  # else it waits for the others of its set
-                proxy.tables = [min(fit, key=lambda one: len(one.proxies) + bound[one.place])
-                                for fit in fitting[proxy.zone]]
-                bound.update(table.place for table in proxy.tables)
+            if not any(number in table.proxies for table in proxy.tables):  # else it has one of its set
+                proxy.tables = [min(fit, key=lambda one: len(one.proxies) + meant[one.place])
+                                for fit in fitting[proxy.zone, proxy.held]]
+                meant.update(table.place for table in proxy.tables)
         pairs = [(number, table) for number, proxy in joiners.items() for table in proxy.tables]
         for table in [one for one in self.tables.values() if joiners and not one.proxies]:
             self.publish(table)
@@ -526,14 +529,15 @@
                 del want[place]
 
     def take_down(self, table: Table) -> None:
-        """Lines of nodes that drain, are gone or withdrawn, from who is bound: half of what a withdrawal costs."""
+        """Lines of nodes that drain, are gone or withdrawn come down at who is bound: half of a withdrawal's cost."""
         due = [at for at in sorted(table.lines) if self.nodes[at].out or self.nodes[at].state != our.READY]
         room = self.channel.claim(table.proxies, len(due), 1.0, min(len(due), DRAINS_LEAST)) if due else 0
-        for at in sorted(due, key=lambda at: (self.nodes[at].state == our.READY, self.nodes[at].turned_at))[:room]:
+        due.sort(key=lambda at: (self.nodes[at].state == our.READY, self.nodes[at].turned_at))
+        for at in due[:room]:
             self.orders.line(table.place, at, 0)
             del table.lines[at]
 
-    def publish(self, table: Table, scored: bool = False) -> None:
+    def publish(self, table: Table, scored: bool = False, all_bound: bool = True) -> None:
         """Send what changed, once most proxies have the last change or the wait is over."""
         want = self.wanted(table)
         both = {at: (table.lines.get(at, 0), want.get(at, 0)) for at in sorted({*table.lines, *want})}
@@ -547,6 +551,7 @@
         paced = len(table.waiting) * 2 < len(table.proxies) or self.now - table.changed_at >= ACK_WAIT
         lacks = sum(not both[at][0] for at in changes) > LACKING * len(want)  # weights use up the messages
         usual = paced and (scored or lacks) and not bare  # some go alone: all took the others' room
+        usual = usual and (all_bound or not self.parted)  # who waits goes on with lines to what drains
         idle = fresh and not self.channel.queued
         due = [at for at in changes if usual or bare or idle or at in fresh or fresh and not both[at][0]]
         part = RETURNS_PART if not usual else MISSING_PART if lacks else ORDINARY_PART
@@ -607,7 +612,7 @@
         whole = sum(work * other.levels.get(kind, (1.0, 0))[0]
                     for other in self.tables.values() for kind, work in self.work(other).items())
         part = sum(self.work(table).values()) / whole if whole else 1.0
-        return len(self.pool()) * part * (1 if table.size == inf else PARTS_OF_NODE)  # which other parts fill too
+        return len(self.pool()) * part * (1 if table.size == inf else PARTS_OF_NODE)  # others fill them too
 
     def lets_in(self, table: Table) -> float:
         """The share let in: what the level says, and what a pool that is mostly cold surely stands."""
