Orders that can wait keep at most 2 s of the channel queued; parts of four lines at least

At fault: claim, which lets what can wait fill a part of a cap of 8.9 s of channel (on the first sites the cap is 1.1 to 1.9 s). Ruled out: processor (0.78 of a core at most), late news (0.3 s).

Now ordinary orders and joins take their parts of the design's pace, 2 s of channel, where the cap is longer: the channel stays as busy, and nothing is sent later for it. Parts go down to four lines, as 990 movers at 29 lines took 8 s.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -23,7 +23,7 @@
 SLOW_MOST, DRAINS_LEAST = 3.0, 4  # s of channel for a table, each widens the threshold; lines worth a head
 ACK_WAIT, DRAIN_WAIT = 2.0, 1.0  # s; the design's, for most proxies; drains share late messages so long
 ORDINARY_PART, RETURNS_PART, URGENT_PART, QUEUE_PART = 0.5, 0.6, 0.7, 0.9  # of the caps; the rest for drains
-CARRIED_PART, LINES_LEAST, PARTS_OF_NODE = 0.5, 6, 2  # of the grace: all lines of all proxies go out in it, the
+CARRIED_PART, LINES_LEAST, PARTS_OF_NODE = 0.5, 4, 2  # of the grace: all lines of all proxies go out in it, the
 # rest is for what waits; fewer, and two draws meet a sick node too often; parts that share a node level its load
 PART_OVER = 1.5  # joiners may have parts up to so many times the size that fits now: fewer tables
 MISSING_PART, LACKING = 0.75, 0.1  # of the messages, once this share of a table's nodes has no line there yet
@@ -157,7 +157,7 @@
         if limits.queue_most and proxies:  # drains by the dozen overran it too
             queue = limits.queue_most * QUEUE_PART
             if part not in (URGENT_PART, 1.0):  # what waits delays drains too
-                queue = min(limits.queue_most, self.carries()) * min(part, RETURNS_PART)
+                queue = min(limits.queue_most, limits.line_rate * ACK_WAIT) * min(part, RETURNS_PART)
             room = (queue - self.queued - heads) / (len(proxies) + held)
             if room < (least or lines):
                 return 0
