The queue in the books is what acknowledgements leave unproved; marks in long queues too

At fault: Channel.turn, which let lines leave at the told rate whatever acknowledgements say.

Now the lines of rounds whose mark is not answered count as waiting, less a second's worth; what is answered counts by its share of the round; marks go with published changes as before, and with all that is sent while over a second of channel waits.

Scenario slow_channel fails without it.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -6,7 +6,6 @@
 
 from collections import Counter, deque
 from dataclasses import dataclass, field
-from heapq import heapreplace
 from math import ceil, inf
 from random import Random
 from statistics import median
@@ -21,11 +20,11 @@
 RESCORE_EVERY, LOOK_EVERY = 1.0, 0.25  # s; the design's pace; for what cannot wait, far within any grace
 RESEND_OVER, LEANED_OVER = 5.0, 0.1  # points, the design's threshold; share, the same for weights above 100
 SLOW_MOST, DRAINS_LEAST = 3.0, 4  # s of channel for a table, each widens the threshold; lines worth a head
+ACK_LATE, SLOWEST = 1.0, 4.0  # s, from leaving the channel to the answer; times slower that a channel may be
 ACK_WAIT, DRAIN_WAIT = 2.0, 1.0  # s; the design's, for most proxies; drains share late messages so long
 ORDINARY_PART, RETURNS_PART, URGENT_PART, QUEUE_PART = 0.5, 0.6, 0.7, 0.9  # of the caps; the rest for drains
-CARRIED_PART, LINES_LEAST, PARTS_OF_NODE = 0.5, 4, 2  # of the grace: all lines of all proxies go out in it, the
-# rest is for what waits; fewer, and two draws meet a sick node too often; parts that share a node level its load
-PART_OVER = 1.5  # joiners may have parts up to so many times the size that fits now: fewer tables
+CARRIED_PART, LINES_LEAST, PARTS_OF_NODE, PART_OVER = 0.5, 4, 2, 1.5  # of the grace: all lines of all proxies
+# go out in it; fewer, and two draws meet a sick node too often; they level its load; still good for joiners
 MISSING_PART, LACKING = 0.75, 0.1  # of the messages, once this share of a table's nodes has no line there yet
 NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing costs 8 points or more
 LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
@@ -138,13 +137,16 @@
 @dataclass(slots=True)
 class Channel:  # counts lines and messages on their way, so that queue and message cap are kept
     limits: our.ChannelLimits
-    grace: float  # s
     queued: float = 0.0
     at: float = 0.0
+    booked: float = 0.0  # of all time; up to the last round; what has left by the answers
+    ended: float = 0.0
+    left: float = 0.0
+    heads: int = 0  # of this round
+    rounds: list = field(default_factory=list)  # mark, booked before it and in it, heads, answers, when
 
     def claim(self, proxies: dict[int, Proxy], lines: int, part: float, least: int = 0, new: int = 0) -> int:
-        """Book so many lines to each proxy, or as many from the least on as this part of the caps allows. New ones
-        come first, and cost who may bring withdrawals another line each."""
+        """Book so many lines to each proxy, or as many from the least on as this part of the caps allows."""
         limits = self.limits
         fresh = [proxy for proxy in proxies.values() if not proxy.sent or proxy.sent[-1] < self.at]
         for proxy in fresh:
@@ -153,45 +155,61 @@
             if limits.messages_most and len(proxy.sent) + 1 >= limits.messages_most * part:  # one is spare
                 return 0
         heads = len(fresh) * (limits.head + 1)
-        held = sum(proxy.held for proxy in proxies.values()) if new else 0
+        held = sum(proxy.held for proxy in proxies.values()) if new else 0  # told if a new node is out
         if limits.queue_most and proxies:  # drains by the dozen overran it too
-            queue = limits.queue_most * QUEUE_PART
+            queue = limits.queue_most
             if part not in (URGENT_PART, 1.0):  # what waits delays drains too
-                queue = min(limits.queue_most, limits.line_rate * ACK_WAIT) * min(part, RETURNS_PART)
+                queue = min(queue, limits.line_rate * ACK_WAIT)
+            queue *= part if part < URGENT_PART else QUEUE_PART
             room = (queue - self.queued - heads) / (len(proxies) + held)
             if room < (least or lines):
                 return 0
             lines = min(lines, int(room))
-        self.queued += heads + lines * len(proxies) + min(lines, new) * held
+        self.queued += (cost := heads + lines * len(proxies) + min(lines, new) * held)
+        self.booked, self.heads = self.booked + cost, self.heads + len(fresh)
         for proxy in fresh:
             proxy.sent.append(self.at)
         return lines
 
-    def carries(self) -> float:  # lines that go out in their part of the grace
-        return self.limits.line_rate * self.grace * CARRIED_PART
+    def turn(self, now: float) -> None:  # by the line rate; where answers show a slower channel, by those
+        rate = self.limits.line_rate
+        if self.rounds and now - self.rounds[0][5] > ACK_LATE + SLOWEST * self.limits.queue_most / rate:
+            self.rounds, self.left = [], self.ended  # nobody is left to tell
+        unknown = self.ended - self.left - rate * ACK_LATE
+        self.queued, self.at = max(0.0, self.queued - (now - self.at) * rate, unknown), now
 
-    def turn(self, now: float) -> None:
-        self.queued, self.at = max(0.0, self.queued - (now - self.at) * self.limits.line_rate), now
+    def end_round(self, mark: int) -> None:  # all that was sent in it bears the mark
+        self.rounds.append([mark, self.ended, self.booked - self.ended, self.heads, 0, self.at])
+        self.ended, self.heads = self.booked, 0
+
+    def answered(self, mark: int) -> None:  # what was sent before has left, of this round what is answered
+        at = (mark - self.rounds[0][0]) % our.MARKS if self.rounds else 0
+        if at < len(self.rounds):
+            del self.rounds[:at]
+            self.rounds[0][4] += 1
+            _, before, lines, heads, answers, _ = self.rounds[0]
+            self.left = before + lines * min(1.0, answers / heads)
 
 
 class Conductor:
     def __init__(self, *, seed: int, kinds: list[our.ReqKind], roll: our.RollManners,
                  channel: our.ChannelLimits, cold: our.ColdLimits, report_period: float, admitting: str,
-                 crossing_price: float, may_probe: bool, grace: float = inf, usual_proxies: float = 0) -> None:
+                 crossing_price: float, may_probe: bool, grace: float = inf,
+                 usual_proxies: float = 0.0) -> None:
         self.uniform, self.kinds, self.roll, self.cold = Random(seed).uniform, kinds, roll, cold
         self.period = self.heard_over = report_period  # as set, and as sums in fact cover it
         self.admitting, self.crossing_price, self.may_probe = admitting, crossing_price, may_probe
-        self.channel, self.nodes, self.proxies = Channel(channel, grace), {}, {}  # by number
-        self.usual_proxies, self.parted = usual_proxies, False  # of a conductor; are tables dealt in parts
-        self.pools, self.works = {}, {}  # this list's ready nodes by zones; what comes by table and kind, at a look
+        self.channel, self.nodes, self.proxies = Channel(channel), {}, {}  # by number
+        self.grace, self.usual_proxies, self.parted = grace, usual_proxies, False
+        self.pools, self.works, self.alike = {}, {}, {}  # ready nodes by zones; work, kindred by table
         self.lean, self.bound = {}, set()  # by zone: its part in open tables; zones kinds can't leave
         self.target = min((req.response_target for req in kinds), default=1.0)  # the mean of what comes
         self.tables, self.answers, self.mark = {}, 0.0, 0  # by kinds and nodes; heard of all; the last mark
-        self.look_at = self.rescore_at = self.ask_at = self.fetch_at = self.marked_at = LONG_AGO
+        self.look_at = self.rescore_at = self.ask_at = self.fetch_at = LONG_AGO
         self.following, self.ask_wait = not roll.must_ask, ASK_AGAIN
 
     def round(self, now: float, arrivals: our.Arrivals, orders: our.OrderWriter) -> None:
-        self.now, self.orders = now, orders
+        self.now, self.orders, self.published = now, orders, False
         self.channel.turn(now)
         for name, *fields in arrivals:
             getattr(self, "take_" + name)(*fields)
@@ -200,13 +218,16 @@
             self.look_at = now + LOOK_EVERY - CLOCK_STEP
             orders.wake(LOOK_EVERY)
             self.look()
+        if self.channel.heads and (self.published or self.channel.queued > self.channel.limits.line_rate):
+            self.mark = (self.mark + 1) % our.MARKS
+            orders.ask_ack(self.mark, False)
+            self.channel.end_round(self.mark)
 
     def look(self) -> None:
         """Health at each look; scores and levels once a second; tables as their pace allows."""
         self.judge()
         self.weigh()
-        scored = self.now >= self.rescore_at
-        if scored:
+        if scored := self.now >= self.rescore_at:
             self.rescore_at = self.now + RESCORE_EVERY - CLOCK_STEP
             for place in (at for at, node in self.pool().items() if node.out and self.may_probe):
                 self.orders.probe(place)
@@ -223,11 +244,11 @@
             self.take_down(table)
         self.turn_nodes(True)  # drains first, returns after the lines that they need
         self.bind_joined()
-        all_bound = all(proxy.bound for proxy in self.proxies.values())
+        all_bound = all(proxy.bound for proxy in self.proxies.values())  # the others go on with other lines
         for table in self.tables.values():
-            self.publish(table, scored, all_bound)
+            self.publish(table, scored, not self.parted or all_bound)
         self.turn_nodes(False)
-        self.drop_gone()
+        self.drop_gone(all_bound)  # else tables of others may hold them
 
     def ask_roll(self) -> None:
         """Follow the roll, asking again with growing waits; now and then fetch it whole."""
@@ -244,21 +265,18 @@
         if self.ask_at > LONG_AGO:  # an answer, not the list held at the start
             self.following, self.ask_wait, self.ask_at = True, ASK_AGAIN, self.now
         self.look_at = self.rescore_at = LONG_AGO  # a pool that lost its warm nodes must not wait
+        self.pools = {}
         told = {entry[0] for entry in entries} if whole else self.nodes
         gone = [(at, node.zone, 0.0, our.GONE, 0.0) for at, node in self.nodes.items() if at not in told]
         for place, zone, started, state, nominal in [*gone, *entries]:
-            node = self.node(place)
+            node = self.nodes.setdefault(place, Node())
             if (state == our.READY) != (node.state == our.READY) or node.turned_at == LONG_AGO:
                 node.turned_at = self.now
             node.zone, node.state, node.nominal = zone, state, nominal if nominal > 0 else 1.0
-            self.pools = {}
             if started > node.started:
                 node.started, node.share = started, 0.0  # cold it gets less, so owes less
                 self.forget(node, started - max(0.0, RAMP_OVER - RAMP_COLD * (self.cold.warm_after or inf)))
 
-    def node(self, place: int) -> Node:
-        return self.nodes.setdefault(place, Node())
-
     def forget(self, node: Node, eased_at: float) -> None:
         """Old evidence is of another life."""
         node.good = node.took = node.tried = node.errored = 0.0
@@ -278,7 +296,7 @@
         self.proxies[proxy] = Proxy(zone, not blank, [usual / max(1, len(self.kinds))] * len(self.kinds))
 
     def groups(self, zone: int) -> dict[tuple, dict[int, Node]]:
-        """The nodes open to a zone's proxies, by the kinds that go there, their zones and the one preferred."""
+        """The nodes open to a zone's proxies, by their kinds, their zones and the preferred one."""
         groups: dict[tuple, tuple[int, ...]] = {}
         for kind, req in enumerate(self.kinds):
             near = zone if self.crossing_price >= NEAR_PRICE and not req.zones else -1
@@ -286,45 +304,34 @@
             groups[open_to] = (*groups.get(open_to, ()), kind)
         return {(kinds, zones, near): self.pool(zones) for (zones, near), kinds in groups.items()}
 
-    def size_of(self, pools: dict[tuple, dict[int, Node]], key: tuple, held: bool) -> float:
-        """How many nodes a table may hold: all, unless all proxies' tables take the channel beyond the grace."""
-        lines, whole = len(pools[key]), sum(map(len, pools.values()))
-        proxies = max(1.0, self.usual_proxies, len(self.proxies))
-        each = self.channel.carries() / proxies - self.channel.limits.head - 1 - len(pools) - len(self.kinds)
-        if whole * CARRIED_PART <= each:
-            return inf
-        return max(LINES_LEAST, each * lines // (whole * (1 + held)))  # who may bring withdrawals is told twice
-
-    def tables_of(self, zone: int, held: bool) -> list[tuple[float, list]]:
-        """For each set of nodes open to some kinds, the most nodes of a joiner's table and a heap of the tables that
-        it may have: one shared by all where the channel carries it whole, else parts."""
-        pools, tables = self.groups(zone), []
-        for key in pools:
-            size = self.size_of(pools, key, held)
-            fit = [one for one in self.tables.values()
-                   if (one.kinds, one.zones, one.near) == key and one.size <= PART_OVER * size]
-            for _ in range(len(fit), 1 if size == inf else ceil(PARTS_OF_NODE * len(pools[key]) / size)):
+    def tables_of(self, zone: int, held: bool) -> list[tuple[float, deque]]:
+        """For each set of nodes open to some kinds, the size and the choice of a joiner's table: a whole one
+        where all proxies get theirs within the grace; else parts that go out in their part of it."""
+        pools, tables, carried = self.groups(zone), [], self.channel.limits.line_rate * self.grace
+        whole, proxies = sum(map(len, pools.values())), max(1.0, self.usual_proxies, len(self.proxies))
+        other = self.channel.limits.head + 1 + len(pools) + len(self.kinds)
+        room = (carried * CARRIED_PART / proxies - other) / (whole * (1 + held) or 1)  # told twice
+        for key, pool in pools.items():
+            size = inf if proxies * (whole + other) <= carried else max(LINES_LEAST, int(room * len(pool)))
+            fit = [one for one in self.alike.setdefault(key, []) if one.size <= PART_OVER * size]
+            for _ in range(len(fit), max(1, ceil(PARTS_OF_NODE * len(pool) / size))):
                 fit.append(Table(len(self.tables), *key, size))
                 self.tables[len(self.tables)] = fit[-1]
-            tables.append((PART_OVER * size, sorted((len(one.proxies), one.place) for one in fit)))
+                self.alike[key].append(fit[-1])
+            tables.append((PART_OVER * size, deque(sorted(fit, key=lambda one: len(one.proxies)))))
         return tables
 
     def deal(self) -> None:
-        """Where tables are parts, deal each as many nodes as it may hold, half of them near ones, and those
-        first that fewest parts hold; each node stands in one at least."""
+        """Where tables are parts, each gets its number of nodes, half of them near, from those in few."""
         self.parted = any(table.size < inf for table in self.tables.values())
-        groups: dict[tuple, list[Table]] = {}
-        for table in self.tables.values() if self.parted else ():
-            groups.setdefault((table.kinds, table.zones, table.near), []).append(table)
-        for (_, zones, near), tables in groups.items():
+        for (_, zones, near), tables in self.alike.items() if self.parted else ():
             pool = {at: node for at, node in self.pool(zones).items() if not node.out}
             parts = [table for table in tables if table.size < inf]
             for table in parts:
                 table.dealt &= pool.keys()
             cover = Counter(at for table in parts for at in table.dealt)
             for table in parts:
-                missing = int(min(table.size, len(pool))) - len(table.dealt)
-                if missing > 0:
+                if (missing := int(min(table.size, len(pool))) - len(table.dealt)) > 0:
                     rest = sorted(pool.keys() - table.dealt, key=lambda at: (cover[at], self.uniform(0, 1)))
                     half = int(table.size) // 2 - sum(pool[at].zone == near for at in table.dealt)
                     close = [at for at in rest if pool[at].zone == near][:max(0, half)]
@@ -345,19 +352,19 @@
         """As there is room (all at once overran the queue), short tables first: the bound learn of drains."""
         listed = any(node.turned_at > LONG_AGO for node in self.nodes.values())  # else their own are better
         joiners = {number: proxy for number, proxy in self.proxies.items() if listed and not proxy.bound}
-        alike = {(proxy.zone, proxy.held) for proxy in joiners.values()}
-        fitting = {one: self.tables_of(*one) for one in sorted(alike)}
+        fitting = {one: self.tables_of(*one) for one in sorted({(p.zone, p.held) for p in joiners.values()})}
         self.deal()
         for number, proxy in joiners.items():
-            fits, has = fitting[proxy.zone, proxy.held], any(number in table.proxies for table in proxy.tables)
-            if not proxy.tables or not has and any(t.size > most for t, (most, _) in zip(proxy.tables, fits)):
-                proxy.tables = [self.tables[heap[0][1]] for _, heap in fits]
-                for _, heap in fits:  # the one with the fewest, by those that are meant for it
-                    heapreplace(heap, (heap[0][0] + 1, heap[0][1]))
+            fits = fitting[proxy.zone, proxy.held]
+            over = any(table.size > most for table, (most, _) in zip(proxy.tables, fits))
+            if not proxy.tables or over and not any(number in table.proxies for table in proxy.tables):
+                proxy.tables = [fit[0] for _, fit in fits]
+                for _, fit in fits:  # by turns, from the one with the fewest
+                    fit.rotate(-1)
         pairs = [(number, table) for number, proxy in joiners.items() for table in proxy.tables]
         for table in [one for one in self.tables.values() if joiners and not one.proxies]:
             self.publish(table)
-        known, joined = any(node.shut for node in self.nodes.values()), {}
+        known = any(node.shut for node in self.nodes.values())
         pairs.sort(key=lambda pair: (known and len(pair[1].lines), -sum(joiners[pair[0]].rates)))
         for at, table in pairs:
             told = (joiners[at].held or self.nodes[node].shut for node in table.lines)
@@ -365,11 +372,10 @@
             if at not in table.proxies and self.channel.claim({at: joiners[at]}, lines, RETURNS_PART):
                 self.orders.bind(table.place, at, sum(1 << kind for kind in table.kinds))
                 table.proxies[at] = joiners[at]
-                joined[table.place] = table
         self.weigh()
         for number, proxy in joiners.items():
             proxy.bound = all(number in table.proxies for table in proxy.tables)
-        for table in joined.values():
+        for table in [one for one in self.tables.values() if joiners.keys() & one.proxies.keys()]:
             self.set_levels(table)
 
     def take_left(self, proxy: int) -> None:
@@ -378,6 +384,7 @@
             table.waiting.discard(proxy)
 
     def take_applied(self, proxy: int, mark: int, took: float) -> None:
+        self.channel.answered(mark)
         for table in self.proxies[proxy].tables if proxy in self.proxies else ():
             if (mark - table.mark) % our.MARKS < our.MARKS // 2:
                 table.waiting.discard(proxy)
@@ -388,7 +395,7 @@
 
     def take_met(self, place: int, zone: int, over: float, took: float, errored: int, tried: int,
                  load: our.Load) -> None:
-        node = self.node(place)
+        node = self.nodes.setdefault(place, Node())
         self.heard_over += HEARD_STEP * (max(over, self.period) - self.heard_over)
         node.tried, node.errored, good = node.tried + tried, node.errored + errored, max(0, tried - errored)
         self.answers, node.answered = self.answers + good, node.answered + good
@@ -403,8 +410,8 @@
             node.load = 100.0 * busy if node.load is None else node.load + STEP * (100.0 * busy - node.load)
 
     def take_probed(self, place: int, outcome: int, took: float, load: our.Load) -> None:
-        if outcome != our.TURNED_AWAY:
-            self.node(place).passes = self.node(place).passes + 1 if outcome == our.ANSWERED else 0
+        if outcome != our.TURNED_AWAY and (node := self.nodes.get(place)):
+            node.passes = node.passes + 1 if outcome == our.ANSWERED else 0
 
     def judge(self) -> None:
         """Withdraw on evidence, by comparison with the rest; let back after a wait and good probes."""
@@ -424,10 +431,9 @@
         for node in self.nodes.values():
             node.good, node.took = node.good * keep, node.took * keep
             node.tried, node.errored = node.tried * keep, node.errored * keep
-        for table in self.tables.values():  # no proxy is left without a line by evidence alone
-            pool = self.pool(table.zones).values()
+        for pool in [self.pool(zones).values() for zones in {one.zones for one in self.tables.values()}]:
             for node in () if any(not node.out for node in pool) else pool:
-                node.out = False
+                node.out = False  # no proxy is left without a line by evidence alone
 
     def sick(self, node: Node, ready: list[Node]) -> bool:
         """Errors far above the rest's, of fleet and zone: quick failure, but not a zone that drowns."""
@@ -441,7 +447,7 @@
         return missed > SILENT_ANSWERS and self.now - node.answered_at > SILENT_PERIODS * self.heard_over
 
     def take_out(self, place: int, node: Node) -> None:
-        pools = [pool for table in self.tables.values() if place in (pool := self.pool(table.zones))]
+        pools = [pool for at in {t.zones for t in self.tables.values()} if place in (pool := self.pool(at))]
         if any(sum(one.out for one in pool.values()) + 1 > OUT_MOST * len(pool) for pool in pools):
             return
         node.hold = min(HOLD_MOST, node.hold * 2) if self.now - node.out_at < HOLD_MOST + node.hold else HOLD
@@ -460,12 +466,11 @@
             due[place].shut = out
             self.orders.withdraw(place, out)
 
-    def drop_gone(self) -> None:
+    def drop_gone(self, all_bound: bool) -> None:
         """Nothing is kept of nodes long gone and in nobody's lines; in batches, as each costs a message."""
         over = [at for at, node in self.nodes.items() if LONG_AGO < node.turned_at < self.now - KEPT_GONE
                 and node.state == our.GONE and not any(at in one.lines for one in self.tables.values())]
-        due = any(self.nodes[at].turned_at < self.now - 2 * KEPT_GONE for at in over)
-        due = due and all(proxy.bound for proxy in self.proxies.values())  # tables of others may hold it
+        due = any(self.nodes[at].turned_at < self.now - 2 * KEPT_GONE for at in over) and all_bound
         for at in over[:self.channel.claim(self.proxies, len(over), RETURNS_PART, 1) if due else 0]:
             self.orders.drop(at)
             del self.nodes[at]
@@ -538,19 +543,19 @@
                 del want[place]
 
     def take_down(self, table: Table) -> None:
-        """Lines of nodes that drain, are gone or withdrawn come down at who is bound: half of a withdrawal's cost."""
+        """Lines of nodes that are out come down at who is bound: half of what a withdrawal costs."""
         due = [at for at in sorted(table.lines) if self.nodes[at].out or self.nodes[at].state != our.READY]
         room = self.channel.claim(table.proxies, len(due), 1.0, min(len(due), DRAINS_LEAST)) if due else 0
-        due.sort(key=lambda at: (self.nodes[at].state == our.READY, self.nodes[at].turned_at))
-        for at in due[:room]:
+        for at in sorted(due, key=lambda at: max(self.nodes[at].turned_at, self.nodes[at].out_at))[:room]:
             self.orders.line(table.place, at, 0)
             del table.lines[at]
 
-    def publish(self, table: Table, scored: bool = False, all_bound: bool = True) -> None:
+    def publish(self, table: Table, scored: bool = False, free: bool = True) -> None:
         """Send what changed, once most proxies have the last change or the wait is over."""
         want = self.wanted(table)
         both = {at: (table.lines.get(at, 0), want.get(at, 0)) for at in sorted({*table.lines, *want})}
-        slow = 1.0 + min(SLOW_MOST, len(want) * len(self.proxies) / max(1.0, self.channel.limits.line_rate))
+        sharing = len(self.proxies if self.parted else table.proxies)
+        slow = 1.0 + min(SLOW_MOST, len(want) * sharing / max(1.0, self.channel.limits.line_rate))
         falls = {at: self.nodes[at] for at, (old, new) in both.items() if 0 < new < old / 2}
         fresh = {at for at, node in falls.items() if ramp(self.now - node.eased_at) < 1.0}  # can't wait
         changes = {at: new for at, (old, new) in both.items() if (old > 0) != (new > 0)
@@ -559,10 +564,9 @@
         bare = not any(at in want and not self.nodes[at].out for at in table.lines) or not table.proxies
         paced = len(table.waiting) * 2 < len(table.proxies) or self.now - table.changed_at >= ACK_WAIT
         lacks = sum(not both[at][0] for at in changes) > LACKING * len(want)  # weights use up the messages
-        usual = paced and (scored or lacks) and not bare  # some go alone: all took the others' room
-        usual = usual and (all_bound or not self.parted)  # who waits goes on with lines to what drains
-        idle = fresh and not self.channel.queued
-        due = [at for at in changes if usual or bare or idle or at in fresh or fresh and not both[at][0]]
+        usual = paced and (scored or lacks) and not bare and free  # some go alone: all took the others' room
+        due = [at for at in changes if usual or bare or at in fresh
+               or fresh and not (both[at][0] and self.channel.queued)]
         part = RETURNS_PART if not usual else MISSING_PART if lacks else ORDINARY_PART
         new = sum(not both[at][0] for at in due)
         room = self.channel.claim(table.proxies, len(due), part, 1, new) if due else 0
@@ -573,10 +577,8 @@
             self.orders.line(table.place, node, weight)
         table.lines = {node: weight for node, weight in (table.lines | sent).items() if weight}
         if sent and table.proxies:
-            if self.marked_at < self.now:
-                self.mark, self.marked_at = (self.mark + 1) % our.MARKS, self.now
-                self.orders.ask_ack(self.mark, False)
-            table.mark, table.waiting, table.changed_at = self.mark, set(table.proxies), self.now
+            self.published = True
+            table.mark, table.waiting, table.changed_at = self.mark + 1, set(table.proxies), self.now
 
     def steer(self, table: Table) -> None:
         """Under strain let in less, once sums show what the last cut did; come back slowly after it."""
@@ -614,9 +616,8 @@
 
     def weigh(self) -> None:
         """What comes to each table, and to all of them by what is let in."""
-        self.works = {table.place: {kind: self.kinds[kind].response_target
-                                    * sum(proxy.rates[kind] for proxy in table.proxies.values())
-                                    for kind in table.kinds} for table in self.tables.values()}
+        self.works = {at: {kind: self.kinds[kind].response_target * sum(proxy.rates[kind] for proxy in
+                           one.proxies.values()) for kind in one.kinds} for at, one in self.tables.items()}
         self.whole = sum(work * table.levels.get(kind, (1.0, 0))[0] for table in self.tables.values()
                          for kind, work in self.works[table.place].items())
 
