On sockets the list is always watched, also where the settings say it comes unasked

The settings say membershipMode automatic, so ask_roll never called discovery; on sockets there is no call but ours, and news counts as told 6 s later. Ruled out: the channel (q at most 1,400 of 26,800), proxies not bound (0).

The test fails without the line.

--- a/oatcart/net/start.py
+++ b/oatcart/net/start.py
@@ -45,6 +45,7 @@
     another front beside the sidecars' hands in a kind of `Rounds` that serves it too."""
     settings = read(cfg, "settings", dict)
     records = read(cfg, "settings", start_records)
+    records["roll"] = records["roll"]._replace(must_ask=True)  # on sockets nothing comes unasked, whatever is told
     loop = Loop(time.monotonic, lambda error: log.say("task", "".join(traceback.format_exception(error))))
     log = Log(loop.clock)
     codec = read(cfg, "settings", lambda told: wire.Codec(
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -20,6 +20,7 @@
 from oatcart.net.door import NO_ROOM_WAIT
 from oatcart.net.ending import Ended, Ending
 from oatcart.net.loop import Loop
+from oatcart.net.start import assemble
 from oatcart.net.stream import UNSENT_MOST, Stream
 from oatcart.policy import Conductor
 
@@ -192,6 +193,23 @@
     (stage.play if path.parent.name == "sockets" else play)(path.read_text())
 
 
+def test_a_list_told_to_come_unasked_is_watched_on_sockets():
+    """Failure: where the settings say that changes arrive by themselves nobody asked discovery, and no drain was heard."""
+    cfg = json.loads((HERE.parent / "examples" / "config.json").read_text())
+    woken, waker = socket.socketpair()
+    with socket.create_server(("127.0.0.1", 0)) as desk, woken, waker:
+        cfg |= {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:{}".format(desk.getsockname()[1])}
+        cfg["settings"]["membershipMode"] = "automatic"
+        loop, _, door = assemble(cfg, woken)
+        desk.settimeout(5)
+        call, _ = desk.accept()
+        with call, door.listener:
+            call.settimeout(5)
+            for _ in range(stage.QUIET):
+                loop.turn(stage.TURN)
+            assert call.recv(4096).startswith(b"GET /v1/servers?since=")
+
+
 def test_what_is_left_unread_is_bounded():
     ours, theirs = socket.socketpair()
     loop = Loop(lambda: 0.0, lambda error: None)
