--- a/oatcart/handover.py
+++ b/oatcart/handover.py
@@ -65,6 +65,12 @@
     )
 
 
+def socket_records(settings: dict) -> dict:
+    """The same for a conductor on sockets, where nothing comes unasked, whatever the settings tell of the list."""
+    records = start_records(settings)
+    return records | {"roll": records["roll"]._replace(must_ask=True)}
+
+
 def is_amount(value: object) -> bool:
     """
     >>> [is_amount(value) for value in (0, 2.5, -1, 1e300, float("nan"), True, "7", None)]
--- a/oatcart/net/start.py
+++ b/oatcart/net/start.py
@@ -7,7 +7,7 @@
 import traceback
 from collections.abc import Callable, Mapping
 
-from oatcart.handover import seconds, start_records
+from oatcart.handover import seconds, socket_records
 from oatcart.net import codec as wire
 from oatcart.net.conductor import Rounds
 from oatcart.net.door import Door
@@ -44,8 +44,7 @@
     """All parts, each with its own few settings; the module has had its first round when this returns. Whoever has
     another front beside the sidecars' hands in a kind of `Rounds` that serves it too."""
     settings = read(cfg, "settings", dict)
-    records = read(cfg, "settings", start_records)
-    records["roll"] = records["roll"]._replace(must_ask=True)  # on sockets nothing comes unasked, whatever is told
+    records = read(cfg, "settings", socket_records)
     loop = Loop(time.monotonic, lambda error: log.say("task", "".join(traceback.format_exception(error))))
     log = Log(loop.clock)
     codec = read(cfg, "settings", lambda told: wire.Codec(
--- a/oatcart/trace/hook.py
+++ b/oatcart/trace/hook.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from oatcart.handover import start_records
+from oatcart.handover import socket_records
 from oatcart.net.conductor import Rounds
 from oatcart.trace.configuration import Tracing
 from oatcart.trace.tap import Tap, start_record
@@ -27,7 +27,7 @@
 
         def start(call: Callable, watcher: object, prober: object) -> None:
             writer.starts = [start_record(
-                rounds.loop.now + rounds.offset, instance, int(cfg["seed"], 16), start_records(settings),
+                rounds.loop.now + rounds.offset, instance, int(cfg["seed"], 16), socket_records(settings),
                 {"kinds": rounds.codec.kind_names, "zones": list(rounds.codec.zones)})]
             tap = Tap(call, writer.put, time.time, lambda rest: rounds.came.extendleft(reversed(rest)))
             place = rounds.codec.place
