--- a/oatcart/tables.py
+++ b/oatcart/tables.py
@@ -4,7 +4,7 @@
 changed. Nothing is paced or chosen here; what a proxy was told on its stream is never told again.
 """
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -38,7 +38,6 @@
 class Proxy:
     blank: bool  # holds nothing that was ordered: what it was not told of is let in
     bound: dict[int, int] = field(default_factory=dict)  # kinds, as bits, by table
-    fresh: set[int] = field(default_factory=set)  # tables that it was bound to this round
     shut: dict[int, bool] = field(default_factory=dict)  # by node: what this stream told of withdrawals
     mark: int | None = None  # the last that this stream was asked for
 
@@ -57,7 +56,7 @@
     def _forget_round(self) -> None:
         self.turned: list[int] = []
         self.altered: set[int] = set()  # tables that changed
-        self.rebound: set[int] = set()  # proxies that were bound to one
+        self.rebound: dict[int, set[int]] = {}  # tables that proxies were bound to, by proxy
         self.all_relevelled: set[int] = set()
         self.mark: int | None = None
         self.mark_all = False
@@ -68,6 +67,7 @@
         self.proxies[proxy] = Proxy(blank)
 
     def left(self, proxy: int) -> None:
+        self.rebound.pop(proxy, None)
         if one := self.proxies.pop(proxy, None):
             for table in one.bound:
                 self.tables[table].proxies.discard(proxy)
@@ -99,9 +99,8 @@
                 del one.bound[at]
                 self.tables[at].proxies.discard(proxy)
         one.bound[table] = one.bound.get(table, 0) | kinds
-        one.fresh.add(table)
         self.tables[table].proxies.add(proxy)
-        self.rebound.add(proxy)
+        self.rebound.setdefault(proxy, set()).add(table)
 
     def withdraw(self, node: int, out: bool) -> None:
         (self.shut.add if out else self.shut.discard)(node)
@@ -132,20 +131,18 @@
     def messages(self) -> Iterator[tuple[int, tuple[Part, ...]]]:
         """One message for each proxy concerned; afterwards the round's changes are told."""
         made: dict[tuple, tuple[list[Part], list[int]]] = {}  # what proxies on the same table share
-        concerned = self.rebound.union(*(self.tables[table].proxies for table in self.altered)) & self.proxies.keys()
+        concerned = {*self.rebound}.union(*(self.tables[table].proxies for table in self.altered))
         if self.turned or self.all_relevelled or self.mark_all:
             concerned = self.proxies.keys()
         for proxy in sorted(concerned):
             one = self.proxies[proxy]
-            parts = self._parts(one, made)
+            parts = self._parts(one, self.rebound.get(proxy, ()), made)
             if self.mark is not None and (parts or self.mark_all):
                 parts = parts or [Part()]
                 parts[-1] = parts[-1]._replace(mark=self.mark)
                 one.mark = self.mark
             if parts:
                 yield proxy, tuple(parts)
-        for proxy in self.rebound & self.proxies.keys():
-            self.proxies[proxy].fresh.clear()
         for one in self.proxies.values() if self.dropped else ():
             for node in self.dropped:
                 one.shut.pop(node, None)
@@ -155,11 +152,11 @@
             table.changed, table.relevelled, table.emptied = {}, set(), False
         self._forget_round()
 
-    def _parts(self, proxy: Proxy, made: dict) -> list[Part]:
+    def _parts(self, proxy: Proxy, fresh: Collection[int], made: dict) -> list[Part]:
         parts, met, free = [], list(self.turned), self.all_kinds
         for at, kinds in proxy.bound.items():
             free &= ~kinds
-            key = at, kinds, at in proxy.fresh or self.tables[at].emptied
+            key = at, kinds, at in fresh or self.tables[at].emptied
             if key not in made:
                 made[key] = self._table_parts(*key)
             parts += made[key][0]
