Parts that nobody has or will have count nowhere

Change: open_to takes what is dealt; only parts in use, or meant for a joiner, are dealt, steered and published.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -200,7 +200,7 @@
         self.period = self.heard_over = report_period  # as set, and as sums in fact cover it
         self.admitting, self.crossing_price, self.may_probe = admitting, crossing_price, may_probe
         self.channel, self.nodes, self.proxies = Channel(channel), {}, {}  # by number
-        self.grace, self.usual_proxies, self.parted = grace, usual_proxies, False
+        self.grace, self.usual_proxies, self.parted, self.meant = grace, usual_proxies, False, set()
         self.pools, self.works, self.alike = {}, {}, {}  # ready nodes by zones; work, kindred by table
         self.lean, self.bound = {}, set()  # by zone: its part in open tables; zones kinds can't leave
         self.target = min((req.response_target for req in kinds), default=1.0)  # the mean of what comes
@@ -236,16 +236,16 @@
             self.target = targets / sum(rate for rate, _ in come) if targets else self.target
             self.rescore()
             self.lean_zones()
-            for table in self.tables.values():
+            for table in filter(self.used, self.tables.values()):
                 self.steer(table)
                 self.set_levels(table)
         self.deal()
-        for table in self.tables.values() if self.parted else ():
+        for table in filter(self.used, self.tables.values()) if self.parted else ():
             self.take_down(table)
         self.turn_nodes(True)  # drains first, returns after the lines that they need
         self.bind_joined()
         all_bound = all(proxy.bound for proxy in self.proxies.values())  # the others go on with other lines
-        for table in self.tables.values():
+        for table in filter(self.used, self.tables.values()):
             self.publish(table, scored, not self.parted or all_bound)
         self.turn_nodes(False)
         self.drop_gone(all_bound)  # else tables of others may hold them
@@ -284,8 +284,7 @@
         node.loads.clear()
         node.answers_then, node.answered_at, node.answered = self.answers, self.now, 0
 
-    def pool(self, zones: tuple[int, ...] = ()) -> dict[int, Node]:
-        """The ready nodes, of some zones or of all."""
+    def pool(self, zones: tuple[int, ...] = ()) -> dict[int, Node]:  # ready, of some zones or of all
         if zones not in self.pools:
             self.pools[zones] = {place: node for place, node in self.nodes.items()
                                  if node.state == our.READY and (not zones or node.zone in zones)}
@@ -326,7 +325,7 @@
         self.parted = any(table.size < inf for table in self.tables.values())
         for (_, zones, near), tables in self.alike.items() if self.parted else ():
             pool = {at: node for at, node in self.pool(zones).items() if not node.out}
-            parts = [table for table in tables if table.size < inf]
+            parts = [table for table in tables if table.size < inf and self.used(table)]
             for table in parts:
                 table.dealt &= pool.keys()
             cover = Counter(at for table in parts for at in table.dealt)
@@ -341,19 +340,19 @@
             for at in pool.keys() - cover.keys() if parts else ():
                 min(parts, key=lambda table: len(table.dealt) - table.size).dealt.add(at)
 
-    def open_to(self, table: Table) -> dict[int, Node]:
-        """The ready nodes of a table: those dealt to it, if it is a part."""
+    def open_to(self, table: Table) -> dict[int, Node]:  # the ready nodes of a table, or those dealt to it
         pool = self.pool(table.zones)
-        if self.parted:  # lines alone tell what is out
-            pool = {at: node for at, node in pool.items() if not node.out}
-        return pool if table.size == inf else {at: pool[at] for at in sorted(table.dealt) if at in pool}
+        places = pool if table.size == inf else sorted(table.dealt & pool.keys())
+        return {at: pool[at] for at in places if not pool[at].out} if self.parted else pool  # no withdrawals
+
+    def used(self, table: Table) -> bool:  # parts that nobody has or will have count nowhere
+        return table.size == inf or bool(table.proxies) or table.place in self.meant
 
     def bind_joined(self) -> None:
         """As there is room (all at once overran the queue), short tables first: the bound learn of drains."""
         listed = any(node.turned_at > LONG_AGO for node in self.nodes.values())  # else their own are better
         joiners = {number: proxy for number, proxy in self.proxies.items() if listed and not proxy.bound}
         fitting = {one: self.tables_of(*one) for one in sorted({(p.zone, p.held) for p in joiners.values()})}
-        self.deal()
         for number, proxy in joiners.items():
             fits = fitting[proxy.zone, proxy.held]
             over = any(table.size > most for table, (most, _) in zip(proxy.tables, fits))
@@ -362,7 +361,9 @@
                 for _, fit in fits:  # by turns, from the one with the fewest
                     fit.rotate(-1)
         pairs = [(number, table) for number, proxy in joiners.items() for table in proxy.tables]
-        for table in [one for one in self.tables.values() if joiners and not one.proxies]:
+        self.meant = {table.place for _, table in pairs}
+        self.deal()
+        for table in [self.tables[at] for at in sorted(self.meant) if not self.tables[at].proxies]:
             self.publish(table)
         known = any(node.shut for node in self.nodes.values())
         pairs.sort(key=lambda pair: (known and len(pair[1].lines), -sum(joiners[pair[0]].rates)))
@@ -375,8 +376,8 @@
         self.weigh()
         for number, proxy in joiners.items():
             proxy.bound = all(number in table.proxies for table in proxy.tables)
-        for table in [one for one in self.tables.values() if joiners.keys() & one.proxies.keys()]:
-            self.set_levels(table)
+        for at in sorted(self.meant):
+            self.set_levels(self.tables[at])
 
     def take_left(self, proxy: int) -> None:
         for table in self.proxies.pop(proxy).tables if proxy in self.proxies else ():
