--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -1,7 +1,6 @@
 """All decisions of an oatcart conductor.
 
-A host makes one `Conductor` with its limits and calls `round(now, arrivals, orders)` once a round with all
-that came in. Arrivals, limits and the order writer: `oatcart/interface.py`; departures: `docs/design.md`.
+A host calls `Conductor.round` with all that came in: `oatcart/interface.py`; departures: `docs/design.md`.
 """
 
 from collections import Counter, deque
@@ -250,8 +249,7 @@
         self.turn_nodes(False)
         self.drop_gone(all_bound)  # else tables of others may hold them
 
-    def ask_roll(self) -> None:
-        """Follow the roll, asking again with growing waits; now and then fetch it whole."""
+    def ask_roll(self) -> None:  # follow it, asking again with growing waits; now and then fetch it whole
         if self.roll.must_ask and self.now >= max(self.ask_at, self.fetch_at if self.following else LONG_AGO):
             self.ask_at, self.fetch_at = self.now + ASK_MOST, self.now + FETCH_EVERY
             self.orders.fetch_roll() if self.following else self.orders.follow(True)
@@ -264,8 +262,7 @@
     def take_listed(self, whole: bool, entries: list[tuple]) -> None:
         if self.ask_at > LONG_AGO:  # an answer, not the list held at the start
             self.following, self.ask_wait, self.ask_at = True, ASK_AGAIN, self.now
-        self.look_at = self.rescore_at = LONG_AGO  # a pool that lost its warm nodes must not wait
-        self.pools = {}
+        self.look_at, self.rescore_at, self.pools = LONG_AGO, LONG_AGO, {}  # a pool gone cold must not wait
         told = {entry[0] for entry in entries} if whole else self.nodes
         gone = [(at, node.zone, 0.0, our.GONE, 0.0) for at, node in self.nodes.items() if at not in told]
         for place, zone, started, state, nominal in [*gone, *entries]:
@@ -277,8 +274,7 @@
                 node.started, node.share = started, 0.0  # cold it gets less, so owes less
                 self.forget(node, started - max(0.0, RAMP_OVER - RAMP_COLD * (self.cold.warm_after or inf)))
 
-    def forget(self, node: Node, eased_at: float) -> None:
-        """Old evidence is of another life."""
+    def forget(self, node: Node, eased_at: float) -> None:  # old evidence is of another life
         node.good = node.took = node.tried = node.errored = 0.0
         node.load, node.eased_at, node.out = None, eased_at, False
         node.loads.clear()
@@ -304,8 +300,7 @@
         return {(kinds, zones, near): self.pool(zones) for (zones, near), kinds in groups.items()}
 
     def tables_of(self, zone: int, held: bool) -> list[tuple[float, deque]]:
-        """For each set of nodes open to some kinds, the size and the choice of a joiner's table: a whole one
-        where all proxies get theirs within the grace; else parts that go out in their part of it."""
+        """For each set of nodes size and choice of a joiner's table: whole, or a part, to be out in time."""
         pools, tables, carried = self.groups(zone), [], self.channel.limits.line_rate * self.grace
         whole, proxies = sum(map(len, pools.values())), max(1.0, self.usual_proxies, len(self.proxies))
         other = self.channel.limits.head + 1 + len(pools) + len(self.kinds)
@@ -506,8 +501,7 @@
             top = max(self.lean.get(node.zone, 1.0) for node in ready)
             self.lean = {zone: lean / top for zone, lean in self.lean.items()}
 
-    def warmth(self, node: Node) -> float:
-        """The share of its capacity that a node surely has by now, however slowly it climbs."""
+    def warmth(self, node: Node) -> float:  # the share of its capacity that it surely has, however slow
         climb, least = node.started and self.cold.warm_after, self.cold.share_at_start
         return min(1.0, least + (1.0 - least) * max(0.0, self.now - node.started) / climb) if climb else 1.0
 
@@ -543,8 +537,7 @@
             for place in drop:
                 del want[place]
 
-    def take_down(self, table: Table) -> None:
-        """Lines of nodes that are out come down at who is bound: half of what a withdrawal costs."""
+    def take_down(self, table: Table) -> None:  # of nodes that are out: half of what a withdrawal costs
         due = [at for at in sorted(table.lines) if self.nodes[at].out or self.nodes[at].state != our.READY]
         room = self.channel.claim(table.proxies, len(due), 1.0, min(len(due), DRAINS_LEAST)) if due else 0
         for at in sorted(due, key=lambda at: max(self.nodes[at].turned_at, self.nodes[at].out_at))[:room]:
@@ -583,7 +576,7 @@
 
     def steer(self, table: Table) -> None:
         """Under strain let in less, once sums show what the last cut did; come back slowly after it."""
-        pool = self.in_use(table)
+        pool = [node for node in self.open_to(table).values() if not node.out]
         strained = strain(pool, self.target)
         usual = median([node.errored / node.tried for node in pool if node.tried >= 1] or [0.0])
         zones = [[node for node in pool if node.zone == zone] for zone in {node.zone for node in pool}]
@@ -612,24 +605,19 @@
                 table.levels[kind] = (level, tries)
                 self.orders.admit(table.place, 1 << kind, self.quota(table, kind, level), tries)
 
-    def in_use(self, table: Table) -> list[Node]:
-        return [node for node in self.open_to(table).values() if not node.out]
-
-    def weigh(self) -> None:
-        """What comes to each table, and to all of them by what is let in."""
+    def weigh(self) -> None:  # what comes to each table, and to all of them by what is let in
         self.works = {at: {kind: self.kinds[kind].response_target * sum(proxy.rates[kind] for proxy in
                            one.proxies.values()) for kind in one.kinds} for at, one in self.tables.items()}
         self.whole = sum(work * table.levels.get(kind, (1.0, 0))[0] for table in self.tables.values()
                          for kind, work in self.works[table.place].items())
 
-    def filled(self, table: Table) -> float:
-        """How many nodes what comes to a table would fill, by what is let in over all."""
+    def filled(self, table: Table) -> float:  # so many nodes what comes would fill, by what is let in
         part = sum(self.works.get(table.place, {}).values()) / self.whole if self.whole else 1.0
         return len(self.pool()) * part * (1 if table.size == inf else PARTS_OF_NODE)  # others fill them too
 
     def lets_in(self, table: Table) -> float:
         """The share let in: what the level says, and what a pool that is mostly cold surely stands."""
-        pool = self.in_use(table)
+        pool = [node for node in self.open_to(table).values() if not node.out]
         warmths = [self.warmth(node) for node in pool]
         warm, filled = sum(warmth >= 1.0 for warmth in warmths), self.filled(table)
         stands = COLD_LETS * sum(warmths) * max(UNHEARD, 1.0 - errors(pool, 1.0))
