Cold nodes of a near zone weigh beside its warm ones, not beside the far ones

The table of n1: near warm 1,300 a line, far warm 65, near cold 14 to 20. Ruled out: lines missing at the proxies (n0 had its 72 cold lines by 20.9 s and sent them 18 tries in 2 s), levels, the list. At fault, wanted and spare_cold: near nodes count twenty times only while warm; a cold line was bounded by the median of all warm lines, in a zone's table mostly far ones; and its draws were reckoned by the work of the whole fleet, though near lines are met by their own zone's proxies.

Change: a zone with a warm node left is near with its cold ones; they weigh by warmth beside the median near warm line and their draws count by the part of the work that the zone's nodes are of the pool; far ones as before. Where all of a zone is cold it is not near. No constant moved.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -22,15 +22,15 @@
 ACK_LATE, SLOWEST = 1.0, 4.0  # s, from leaving the channel to the answer; times slower that a channel may be
 ACK_WAIT, DRAIN_WAIT = 2.0, 1.0  # s; the design's, for most proxies; drains share late messages so long
 ORDINARY_PART, RETURNS_PART, URGENT_PART, QUEUE_PART = 0.5, 0.6, 0.7, 0.9  # of the caps; the rest for drains
-CARRIED_PART, LINES_LEAST, PARTS_OF_NODE, PART_OVER = 0.5, 4, 2, 1.5  # of the grace: all lines of all proxies
-# go out in it; fewer, and two draws meet a sick node too often; they level its load; still good for joiners
+CARRIED_PART, LINES_LEAST, PARTS_OF_NODE, PART_OVER = 0.5, 4, 2, 1.5  # of the grace; else draws meet sick
+# nodes too often; that level a node's load; times larger that joiners take
 MISSING_PART, LACKING = 0.75, 0.1  # of the messages, once this share of a table's nodes has no line there yet
 NEAR, NEAR_PRICE = 20, 0.08  # times that near nodes' scores count, where crossing costs 8 points or more
 LEAN_FROM, NEAR_FROM = 0.8, 0.6  # strain from which free kinds leave a zone, and near is no better
 LEAN_FALL, LEAN_RISE, LEAN_LEAST = 0.7, 1.06, 0.05  # a second; the part by which a zone is still known
 RAMP_FROM, RAMP_OVER, RAMP_COLD, RISE_MOST = 0.25, 5.0, 2.0, 1.35  # share; s, or warm-ups; a score's rise
-COLD_MARGIN, COLD_MEETS, COLD_LETS, UNHEARD = 0.25, 2.5, 1.2, 0.05  # parts of what cold nodes stand: by
-# weight (half for two draws, half for others' proxies), as drawn, for a cold pool; where nothing is heard
+COLD_MARGIN, COLD_MEETS, COLD_LETS, UNHEARD = 0.25, 2.5, 1.2, 0.05  # of what cold nodes stand: by weight
+# (half for two draws, half for others' proxies), as drawn, for a cold pool; where nothing is heard
 HEARD_STEP, STEP = 0.02, 0.4  # parts of a new figure taken over: of the interval heard, from all sums; else
 FORGET, FORGET_PERIODS = 3.0, 1.5  # s, intervals heard, the longer: time constant of durations and errors
 ROOM, ROOM_FALL = 8.0, 0.3  # reqs a node is taken to hold on time until it shows it; step down when late
@@ -480,8 +480,7 @@
             self.orders.drop(at)
             del self.nodes[at]
 
-    def rescore(self) -> None:
-        """The design's scores; no reports get the average, a listed weight scales by its ratio."""
+    def rescore(self) -> None:  # the design's; no reports get the average, listed weights scale by ratio
         ready, sums = self.pool().values(), {}
         for node in ready:
             if node.load is not None and node.good:
@@ -494,8 +493,7 @@
             ratio = node.nominal / nominal if self.roll.nominal_told else 1.0
             node.score = min(sums.get(id(node), average) * ratio, node.score * RISE_MOST + 1.0)
 
-    def lean_zones(self) -> None:
-        """A zone under more strain than the rest loses its nearness, and free kinds leave it."""
+    def lean_zones(self) -> None:  # under more strain than the rest it is not near, and free kinds leave
         ready = self.pool().values()
         self.bound = {zone for table in self.tables.values() for zone in table.zones}
         for zone in sorted((self.bound | {table.near for table in self.tables.values()}) - {-1}):
@@ -517,32 +515,38 @@
     def wanted(self, table: Table) -> dict[int, int]:
         """The table as it should stand: the rounded score of each listed node, eased in after a start."""
         pool, want = self.open_to(table), {}
+        near = {node.zone for node in pool.values() if node.zone == table.near and not node.out
+                and self.warmth(node) >= 1.0}  # none where all are cold
         for place, node in pool.items():
             lean = 1.0 if table.zones else self.lean.get(node.zone, 1.0)
             part = ramp(self.now - node.eased_at) * (lean if node.zone in self.bound else 1.0)
-            if node.zone == table.near and self.warmth(node) >= 1.0:
+            if node.zone in near:
                 part *= 1.0 + (NEAR - 1) * lean
             want[place] = max(1, round(node.score * part))
-        self.spare_cold(table, pool, want)
+        if any(self.warmth(node) < 1.0 for node in pool.values()):
+            self.spare_cold(table, near, pool, want)
         return want
 
-    def spare_cold(self, table: Table, pool: dict[int, Node], want: dict[int, int]) -> None:
+    def spare_cold(self, table: Table, near: set[int], pool: dict[int, Node], want: dict[int, int]) -> None:
         """Cold nodes get what they surely stand, or no line where two draws would meet it too often."""
-        warm = [want[at] for at, node in pool.items() if not node.out and self.warmth(node) >= 1.0]
         part = self.cold.fall_multiple * COLD_MARGIN * max(UNHEARD, 1.0 - errors(list(pool.values()), 1.0))
-        most = median(warm) if warm else 100.0  # heavy lines may be avoided by proxies
-        cold = {place: part * self.warmth(node) for place, node in pool.items() if self.warmth(node) < 1.0}
-        load = max(len(warm), self.filled(table) * self.lets_in(table)) if cold else 0.0
-        for place, stands in cold.items():
-            want[place] = max(1, min(want[place], round(stands * most)))
-        drop = cold and warm
+        cold, drop, filled = {}, False, self.filled(table) * self.lets_in(table)
+        for close in False, True:  # by warm lines of its like; near ones are met by their own zone's proxies
+            like = {at: node for at, node in pool.items() if (node.zone in near) == close}
+            warm = [want[at] for at, node in like.items() if not node.out and self.warmth(node) >= 1.0]
+            most = median(warm) if warm else 100.0  # heavy lines may be avoided by proxies
+            load = max(1, len(warm), filled * len(like) / len(pool) if close else filled)
+            for place, node in like.items():
+                if (stands := part * self.warmth(node)) < part:
+                    want[place] = max(1, min(want[place], round(stands * most)))
+                    cold[place], drop = (COLD_MEETS * stands + 2 / most) / load, drop or warm
         while drop:  # of two draws the second is from what the first left; each line that goes adds to that
             lines = {at: line for at, line in want.items() if not pool[at].out}
             whole = sum(lines.values())
             odds = {at: line / max(1, whole - line) for at, line in lines.items()}
             draws = 1.0 + sum(odds.values())
             met = {at: lines[at] / whole * (draws - odds[at]) for at in cold if at in lines}
-            drop = [at for at, often in met.items() if often * load > COLD_MEETS * cold[at] + 2 / most]
+            drop = [at for at, often in met.items() if often > cold[at]]
             for place in drop:
                 del want[place]
 
@@ -598,8 +602,7 @@
             table.share = min(1.0, table.share + GIVE_BACK)
         table.again = table.share >= 1.0 and strained < TRIES_UNDER and errors(pool) > TRIES_OVER + 2 * usual
 
-    def set_levels(self, table: Table) -> None:
-        """The share let in, least value for its response target first; further tries where they pay."""
+    def set_levels(self, table: Table) -> None:  # least value for its time first; further tries that pay
         share = self.lets_in(table) if self.admitting != our.NOT_AT_ALL else 1.0
         work = self.works[table.place]
         left = share * sum(work.values())
@@ -624,8 +627,7 @@
         part = sum(self.works.get(table.place, {}).values()) / self.whole if self.whole else 1.0
         return len(self.pool()) * part * (1 if table.size == inf else PARTS_OF_NODE)  # others fill them too
 
-    def lets_in(self, table: Table) -> float:
-        """The share let in: what the level says, and what a pool that is mostly cold surely stands."""
+    def lets_in(self, table: Table) -> float:  # by the level, and what a mostly cold pool surely stands
         pool = [node for node in self.open_to(table).values() if not node.out]
         warmths = [self.warmth(node) for node in pool]
         warm, filled = sum(warmth >= 1.0 for warmth in warmths), self.filled(table)
