Whole tables only where all of them take half of the grace: the rest of the channel is for change

Ruled out: the list (all heard it within 0.1 s), messages (5 to 8 of 12 there), weights (nothing ordinary was sent). At fault, tables_of: whole tables were held to fit where they fill the whole grace, parts where they fill half of it; each node replaced costs a whole table's holders a withdrawal, a line and its removal.

Change: one part of the grace for both. Scenario parts_for_change fails without it.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -308,12 +308,12 @@
             groups[open_to] = (*groups.get(open_to, ()), kind)
         return {(kinds, zones, near): self.pool(zones) for (zones, near), kinds in groups.items()}
 
-    def tables_of(self, zone: int, held: bool) -> list[tuple[float, deque]]:
-        """For each set of nodes size and choice of a joiner's table: whole, or a part, to be out in time."""
-        pools, tables, carried = self.groups(zone), [], self.channel.limits.line_rate * self.grace
+    def tables_of(self, zone: int, held: bool) -> list[tuple[float, deque]]:  # size, choice by set of nodes
+        pools, tables = self.groups(zone), []
+        carried = CARRIED_PART * self.grace * self.channel.limits.line_rate  # the rest is for change
         whole, proxies = sum(map(len, pools.values())), max(1.0, self.usual_proxies, len(self.proxies))
         other = self.channel.limits.head + 1 + len(pools) + len(self.kinds)
-        room = (carried * CARRIED_PART / proxies - other) / (whole * (1 + held) or 1)  # told twice
+        room = (carried / proxies - other) / (whole * (1 + held) or 1)  # told twice
         for key, pool in pools.items():
             size = inf if proxies * (whole + other) <= carried else max(LINES_LEAST, int(room * len(pool)))
             fit = [one for one in self.alike.setdefault(key, []) if one.size <= PART_OVER * size]
