Where tables are parts, drains share late messages too

Its conductor's state: 'parted True sent 11 q 0 bad [(0, 39, 2.7), (0, 43, 2.4), ...] 28': 28 nodes of a lost zone stood in lines for up to 3.9 s while the queue was empty and the messages of the window were used. Ruled out: the channel (q 0, flying 0), unbound proxies (none), withdrawals on evidence alone (URGENT_PART for those changed nothing). At fault, take_down: any line that had to come down took a message at once, part 1.0 of the cap, where turn_nodes lets drains wait for one another up to 1 s once few messages are left. Change: both ask drain_part.

Scenario parts_drains_share fails without it.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -4,6 +4,7 @@
 """
 
 from collections import Counter, deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from math import ceil, inf
 from random import Random
@@ -231,8 +232,7 @@
             orders.ask_ack(self.mark, False)
             self.channel.end_round(self.mark)
 
-    def look(self) -> None:
-        """Health at each look; scores and levels once a second; tables as their pace allows."""
+    def look(self) -> None:  # health at each; scores, levels once a second; tables as their pace allows
         self.judge()
         self.weigh()
         if scored := self.now >= self.rescore_at:
@@ -324,8 +324,7 @@
             tables.append((PART_OVER * size, deque(sorted(fit, key=lambda one: len(one.proxies)))))
         return tables
 
-    def deal(self) -> None:
-        """Where tables are parts, each gets its number of nodes, half of them near, from those in few."""
+    def deal(self) -> None:  # to each part its number of nodes, half of them near, from those in few
         self.parted = any(table.size < inf for table in self.tables.values())
         for (_, zones, near), tables in self.alike.items() if self.parted else ():
             pool = {at: node for at, node in self.pool(zones).items() if not node.out}
@@ -352,8 +351,7 @@
     def used(self, table: Table) -> bool:  # parts that nobody has or will have count nowhere
         return table.size == inf or bool(table.proxies) or table.place in self.meant
 
-    def bind_joined(self) -> None:
-        """As there is room (all at once overran the queue), short tables first: the bound learn of drains."""
+    def bind_joined(self) -> None:  # as there is room, short tables first, as who is bound learns of drains
         listed = any(node.turned_at > LONG_AGO for node in self.nodes.values())  # else their own are better
         joiners = {number: proxy for number, proxy in self.proxies.items() if listed and not proxy.bound}
         fitting = {one: self.tables_of(*one) for one in sorted({(p.zone, p.held) for p in joiners.values()})}
@@ -418,8 +416,7 @@
         if outcome != our.TURNED_AWAY and (node := self.nodes.get(place)):
             node.passes = node.passes + 1 if outcome == our.ANSWERED else 0
 
-    def judge(self) -> None:
-        """Withdraw on evidence, by comparison with the rest; let back after a wait and good probes."""
+    def judge(self) -> None:  # withdraw on evidence beside the rest; let back after a wait and good probes
         ready = self.pool()
         for place, node in ready.items():
             if node.answered:
@@ -440,14 +437,12 @@
             for node in () if any(not node.out for node in pool) else pool:
                 node.out = False  # no proxy is left without a line by evidence alone
 
-    def sick(self, node: Node, ready: list[Node]) -> bool:
-        """Errors far above the rest's, of fleet and zone: quick failure, but not a zone that drowns."""
+    def sick(self, node: Node, ready: list[Node]) -> bool:  # errs far beyond fleet and zone; no zone drowns
         rest = [other for other in ready if other is not node and not other.out]
         usual = max(errors(rest), errors([other for other in rest if other.zone == node.zone]))
         return node.errored > (SICK_RATIO + usual) * node.tried
 
-    def silent(self, node: Node) -> bool:
-        """No answer while the rest gave many: a hang, a dead machine, a cut; late reports never show so."""
+    def silent(self, node: Node) -> bool:  # while the rest answer: hang, dead machine, cut, not late reports
         missed = (self.answers - node.answers_then) * node.share * ramp(self.now - node.eased_at)
         return missed > SILENT_ANSWERS and self.now - node.answered_at > SILENT_PERIODS * self.heard_over
 
@@ -458,21 +453,22 @@
         node.hold = min(HOLD_MOST, node.hold * 2) if self.now - node.out_at < HOLD_MOST + node.hold else HOLD
         node.out, node.out_at, node.passes = True, self.now, 0
 
-    def turn_nodes(self, out: bool) -> None:
-        """Keep drained, gone, withdrawn nodes out of all tables that proxies hold, but none only heard of."""
+    def turn_nodes(self, out: bool) -> None:  # out of all tables that proxies hold, and back; none only met
         due = {place: node for place, node in self.nodes.items() if not (out and self.parted)
                and (node.out or node.state != our.READY) == out != node.shut and node.turned_at > LONG_AGO}
         for one in self.tables.values() if not out else ():  # none is let in on a line of its former life
             due = {at: node for at, node in due.items() if one.lines.get(at, 0) <= one.pending.get(at, inf)}
-        told = min([node.turned_at for node in due.values() if node.state != our.READY], default=self.now)
-        part = 1.0 if self.now - told >= DRAIN_WAIT else URGENT_PART if out else RETURNS_PART
+        part = self.drain_part(due.values(), URGENT_PART if out else RETURNS_PART)
         room = self.channel.claim(self.proxies, len(due), part, min(len(due), DRAINS_LEAST)) if due else 0
         for place in sorted(due, key=lambda at: (due[at].state == our.READY, due[at].turned_at))[:room]:
             due[place].shut = out
             self.orders.withdraw(place, out)
 
-    def drop_gone(self, all_bound: bool) -> None:
-        """Nothing is kept of nodes long gone and in nobody's lines; in batches, as each costs a message."""
+    def drain_part(self, nodes: Iterable[Node], usual: float) -> float:  # drains share late messages
+        told = min([node.turned_at for node in nodes if node.state != our.READY], default=self.now)
+        return 1.0 if self.now - told >= DRAIN_WAIT else usual
+
+    def drop_gone(self, all_bound: bool) -> None:  # nodes long gone, in nobody's lines; each costs a message
         over = [at for at, node in self.nodes.items() if LONG_AGO < node.turned_at < self.now - KEPT_GONE
                 and node.state == our.GONE and not any(at in one.lines for one in self.tables.values())]
         due = any(self.nodes[at].turned_at < self.now - 2 * KEPT_GONE for at in over) and all_bound
@@ -552,13 +548,13 @@
 
     def take_down(self, table: Table) -> None:  # of nodes that are out: half of what a withdrawal costs
         due = [at for at in sorted(table.lines) if self.nodes[at].out or self.nodes[at].state != our.READY]
-        room = self.channel.claim(table.proxies, len(due), 1.0, min(len(due), DRAINS_LEAST)) if due else 0
+        part = self.drain_part([self.nodes[at] for at in due], URGENT_PART)
+        room = self.channel.claim(table.proxies, len(due), part, min(len(due), DRAINS_LEAST)) if due else 0
         for at in sorted(due, key=lambda at: max(self.nodes[at].turned_at, self.nodes[at].out_at))[:room]:
             self.orders.line(table.place, at, 0)
             del table.lines[at]
 
     def publish(self, table: Table, scored: bool = False, free: bool = True) -> None:
-        """Send what changed, once most proxies have the last change or the wait is over."""
         want = self.wanted(table)
         both = {at: (table.lines.get(at, 0), want.get(at, 0)) for at in sorted({*table.lines, *want})}
         sharing = len(self.proxies if self.parted else table.proxies)
@@ -587,8 +583,7 @@
             self.published = True
             table.mark, table.waiting, table.changed_at = self.mark + 1, set(table.proxies), self.now
 
-    def steer(self, table: Table) -> None:
-        """Under strain let in less, once sums show what the last cut did; come back slowly after it."""
+    def steer(self, table: Table) -> None:  # less under strain, once sums show the last cut; slowly back
         pool = [node for node in self.open_to(table).values() if not node.out]
         strained = strain(pool, self.target)
         usual = median([node.errored / node.tried for node in pool if node.tried >= 1] or [0.0])
@@ -634,8 +629,7 @@
         stands = COLD_LETS * sum(warmths) * max(UNHEARD, 1.0 - errors(pool, 1.0))
         return min(table.share, stands / filled) if 2 * warm < min(filled, len(warmths)) else table.share
 
-    def quota(self, table: Table, kind: int, level: float) -> float:
-        """A level as the proxies take it: a share, or a rate that lets in that share over all proxies."""
+    def quota(self, table: Table, kind: int, level: float) -> float:  # as proxies take it: a share or a rate
         if self.admitting != our.BY_RATE or level >= 1.0:
             return RATE_OPEN if self.admitting == our.BY_RATE else level
         rates = sorted(proxy.rates[kind] for proxy in table.proxies.values())
