Full parts make room for nodes that stand in none

Ruled out: weights (what was dealt was sent), messages, queue (under 4,000 of 14,100). At fault, deal: a part takes nodes only while it is short of its size, and what stands in none goes into one part. Parts that had filled up with other zones' nodes when a zone was lost never had room again.

Change: where nodes stand in none, each part lets go its share of them, far ones first, of them those in most parts, and takes them in.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -332,15 +332,22 @@
             for table in parts:
                 table.dealt &= pool.keys()
             cover = Counter(at for table in parts for at in table.dealt)
+            fresh = len(pool.keys() - cover.keys()) / max(1, len(pool))  # in none: parts make room for them
             for table in parts:
-                if (missing := int(min(table.size, len(pool))) - len(table.dealt)) > 0:
+                size = int(min(table.size, len(pool)))
+                over = int(len(table.dealt) + fresh * size + self.uniform(0, 1)) - size if fresh else 0
+                if over > 0:  # far ones go first, of them those in most parts
+                    out = sorted(table.dealt, key=lambda at: (pool[at].zone == near, -cover[at], at))[:over]
+                    table.dealt.difference_update(out)
+                    cover.subtract(out)
+                if (missing := size - len(table.dealt)) > 0:
                     rest = sorted(pool.keys() - table.dealt, key=lambda at: (cover[at], self.uniform(0, 1)))
                     half = int(table.size) // 2 - sum(pool[at].zone == near for at in table.dealt)
                     close = [at for at in rest if pool[at].zone == near][:max(0, half)]
                     rest = [*close, *(at for at in rest if at not in close)][:missing]
                     table.dealt.update(rest)
                     cover.update(rest)
-            for at in pool.keys() - cover.keys() if parts else ():
+            for at in [at for at in pool if not cover[at]] if parts else ():
                 min(parts, key=lambda table: len(table.dealt) - table.size).dealt.add(at)
 
     def open_to(self, table: Table) -> dict[int, Node]:  # the ready nodes of a table, or those dealt to it
