A cold pool's level by what strain lets in, not by the levels in force

At fault, weigh and filled: what comes was divided by what the levels in force let in, and lets_in makes the next level of it: each level lowers the next by the share of the pool that is surely warm. Ruled out: strain (share 1.0), errors (0.19 at most). Change: what comes is measured by the tables' shares, which strain alone cuts.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -619,11 +619,10 @@
                 table.levels[kind] = (level, tries)
                 self.orders.admit(table.place, 1 << kind, self.quota(table, kind, level), tries)
 
-    def weigh(self) -> None:  # what comes to each table, and to all of them by what is let in
+    def weigh(self) -> None:  # what comes to each table, and to all of them by what strain lets in
         self.works = {at: {kind: self.kinds[kind].response_target * sum(proxy.rates[kind] for proxy in
                            one.proxies.values()) for kind in one.kinds} for at, one in self.tables.items()}
-        self.whole = sum(work * table.levels.get(kind, (1.0, 0))[0] for table in self.tables.values()
-                         for kind, work in self.works[table.place].items())
+        self.whole = sum(sum(self.works[at].values()) * table.share for at, table in self.tables.items())
 
     def filled(self, table: Table) -> float:  # so many nodes what comes would fill, by what is let in
         part = sum(self.works.get(table.place, {}).values()) / self.whole if self.whole else 1.0
