Cold far lines are held against two draws by any warm line, as before near ones counted apart

At fault, spare_cold: lines were only left out where a warm line of their like stood. Change: any warm line, as before. Scenario cold_far fails without it.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -533,7 +533,7 @@
     def spare_cold(self, table: Table, near: set[int], pool: dict[int, Node], want: dict[int, int]) -> None:
         """Cold nodes get what they surely stand, or no line where two draws would meet it too often."""
         part = self.cold.fall_multiple * COLD_MARGIN * max(UNHEARD, 1.0 - errors(list(pool.values()), 1.0))
-        cold, drop, filled = {}, False, self.filled(table) * self.lets_in(table)
+        cold, drop, filled = {}, [], self.filled(table) * self.lets_in(table)
         for close in False, True:  # by warm lines of its like; near ones are met by their own zone's proxies
             like = {at: node for at, node in pool.items() if (node.zone in near) == close}
             warm = [want[at] for at, node in like.items() if not node.out and self.warmth(node) >= 1.0]
@@ -542,7 +542,8 @@
             for place, node in like.items():
                 if (stands := part * self.warmth(node)) < part:
                     want[place] = max(1, min(want[place], round(stands * most)))
-                    cold[place], drop = (COLD_MEETS * stands + 2 / most) / load, drop or warm
+                    cold[place] = (COLD_MEETS * stands + 2 / most) / load
+            drop += warm
         while drop:  # of two draws the second is from what the first left; each line that goes adds to that
             lines = {at: line for at, line in want.items() if not pool[at].out}
             whole = sum(lines.values())
