A kept connection to discovery that ended between two calls costs no watch

Seen in reading (net/http.py, Client.get): the next GET on a kept connection met the end of it, the whole watch counted as failed, and the module waited 0.5 to 4 s; bytes behind a complete answer stayed with h11 or in the socket and were read as the answer to the next call.

Now a connection that is over or has something unasked on it is left for a new one, and a call that meets the end before a byte of an answer is made once more within 200 ms of its start, the protocol's time until a watch counts as new. Later, or after a byte, discovery ended it over this call: it stays failed, so that no more calls than before reach one that is down or has too many.

--- a/oatcart/net/http.py
+++ b/oatcart/net/http.py
@@ -10,6 +10,9 @@
 
 OK = 200
 HEAD_MOST = 16 * 1024  # bytes of an answer's head; h11's own default
+# s from a call's start: the protocol's time until a watch counts as a new one. A kept connection that ends later with no
+# word was ended over this call, by a server that is down or has too many, and whoever asked waits before the next
+REPEAT_WITHIN = 0.2
 
 
 class Client:
@@ -19,7 +22,24 @@
         self.stream: Stream | None = None
 
     def get(self, path: str, until: float) -> Generator[Wait, bool, memoryview]:
-        """The body of the answer to one call; raises Ended, DENIED for any status but 200."""
+        """The body of the answer to one call; raises Ended, DENIED for any status but 200.
+
+        A kept connection may be closed between two calls with nobody at fault. So one that is over already, or on which
+        bytes lie that answer nothing we asked, is left for a new one; and a call that meets its end before a byte of an
+        answer is made once more."""
+        if self.stream is not None and not self.stream.quiet():
+            self.close()
+        kept, began = self.stream is not None, self.loop.now
+        try:
+            return (yield from self._call(path, until))
+        except Ended as ended:
+            over = ended.ending in (Ending.CLOSED, Ending.RESET) and not self.heard
+            if not (kept and over and self.loop.now - began <= REPEAT_WITHIN):
+                raise
+        return (yield from self._call(path, until))
+
+    def _call(self, path: str, until: float) -> Generator[Wait, bool, memoryview]:
+        self.heard = False  # a byte of the answer
         try:
             if self.stream is None:
                 self.stream = yield from dial(self.loop, self.address, until)
@@ -33,7 +53,8 @@
         except BaseException:
             self.close()
             raise
-        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+        both_done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        if both_done and not self.http.trailing_data[0]:  # else what lies there would be the next call's answer
             self.http.start_next_cycle()
         else:
             self.close()
@@ -47,6 +68,7 @@
             event = self.http.next_event()
             if event is h11.NEED_DATA:
                 part = yield from self.stream.some(until)
+                self.heard = self.heard or bool(part)
                 if not part and self.http.their_state is h11.SEND_RESPONSE:
                     raise Ended(Ending.CLOSED)
                 self.http.receive_data(part)
--- a/oatcart/net/stream.py
+++ b/oatcart/net/stream.py
@@ -58,6 +58,16 @@
         self.seen = self.end
         return part
 
+    def quiet(self) -> bool:
+        """Whether nothing has come, not even an end. What has is read and lost: such a connection is of no use."""
+        try:
+            self.sock.recv(1)
+        except BlockingIOError:
+            return self.start == self.end
+        except OSError:
+            pass
+        return False
+
     def _fill(self, until: float) -> Generator[Wait, bool, int]:
         self._make_room()
         while True:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -28,6 +28,11 @@
         return word
 
 
+def raw(text):
+    """Bytes as a scenario writes them: `\\r`, `\\n`, `\\xc3`."""
+    return text.encode().decode("unicode_escape").encode("latin-1")
+
+
 def fields(words):
     """`sidecar=5 az=a` as a table."""
     return {name: value(text) for name, _, text in (word.partition("=") for word in words)}
@@ -164,7 +169,7 @@
         elif do == "say":
             self.ends[name].sendall(json.dumps({"msg": rest[0]} | fields(rest[1:])).encode() + b"\n")
         elif do == "raw":
-            self.ends[name].sendall(text.encode().decode("unicode_escape").encode())
+            self.ends[name].sendall(raw(text))
             self.quiet()
         elif do == "flood":
             self.flood(self.ends[name], int(rest[0]))
@@ -213,8 +218,22 @@
             self.calls[-1].sendall(b"HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n" % (name.encode(), len(body)) + body)
         elif do == "babble":
             self.calls[-1].sendall(b"what?\r\n\r\n")
+        elif do == "reply":
+            self.calls[-1].sendall(raw(line.split(maxsplit=1)[1]))
+        elif do == "longreply":  # an answer of that revision and length, head and all, then another one behind it
+            empty = json.dumps({"revision": int(name), "complete": False, "members": [], "pad": ""}).encode()
+            head = b"HTTP/1.1 200 X\r\nContent-Length: %4d\r\n\r\n"
+            pad = b"x" * (int(rest[0]) - len(head % 0) - len(empty))
+            body, other = empty.replace(b'""', b'"%s"' % pad), line.split(maxsplit=3)[3].encode()
+            self.calls[-1].sendall(head % len(body) + body + head % len(other) + other)
+        elif do == "unasked":
+            self.quiet()
+            assert (found := self.call()) is None, f"{line}: {found}"
         elif do == "hang":
             self.calls.pop().close()
+        elif do == "cut":
+            self.calls[-1].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.calls.pop().close()
         elif do == "logged":
             self.until(lambda: " ".join(words[1:]) in self.out.getvalue(), line)
             said = self.out.getvalue()
