--- a/oatcart/net/loop.py
+++ b/oatcart/net/loop.py
@@ -30,6 +30,10 @@
     def __init__(self, steps: Steps) -> None:
         self.steps, self.wait, self.turn = steps, Wait(), 0
 
+    @property
+    def over(self) -> bool:
+        return self.steps.gi_frame is None
+
 
 class Loop:
     def __init__(self, clock: Callable[[], float], failed: Callable[[BaseException], None]) -> None:
--- a/oatcart/net/roll.py
+++ b/oatcart/net/roll.py
@@ -4,7 +4,7 @@
 from math import inf
 
 from oatcart.net.codec import ROLL_PATH, Codec, Roll, parsed, watch_path
-from oatcart.net.ending import Ended
+from oatcart.net.ending import Ended, Ending
 from oatcart.net.http import Client
 from oatcart.net.log import Log
 from oatcart.net.loop import Loop, Task, Wait
@@ -12,6 +12,7 @@
 
 CALL_MOST = 4.0  # s for a call that doesn't wait: its news counts as told after 6, and a busy discovery needs 2
 WATCH_OVER = 2.0  # s beyond the wait that a call asks for; from then on its news counts as told
+EARLY = 0.5  # of the wait that a call asks for: an answer that says nothing new comes at its end, give or take
 
 
 class Watcher:
@@ -20,7 +21,8 @@
         self.loop, self.codec, self.log, self.discovery = loop, codec, log, discovery
         self.wait, self.arrive = wait, arrive
         self.revision = 0
-        self.moved = False  # to an address that has not answered yet: its revisions may be others
+        self.anew = False  # the revisions may be others from the next answer on: another address, another life
+        self.wanted = False  # the module follows the list, whether a watch stands or it waits to ask again
         self.addresses: dict[int, Address] = {}
         self.watching: Task | None = None
         self.fetching = False
@@ -30,29 +32,31 @@
         answer with what is out of date, is asked anew. Streams, tables and the list stay as they are."""
         if discovery == self.discovery:
             return
-        self.discovery, self.moved = discovery, True
+        self.discovery, self.anew = discovery, True
         if self.fetching:
             self.loop.end(self.fetcher)
-        if self.watching is not None:  # else the module asks in its time
+        if self.wanted:  # at once, also where the module waits after a failure at the old address
             self.follow(True)
 
     def take(self, roll: Roll, since: float = 0) -> None:
         """What came late says nothing new; older than what was asked for, discovery has started over."""
-        self.addresses |= roll.addresses
         for odd in roll.odd:
             self.log.say("odd", odd)
         if roll.revision >= self.revision or roll.revision < since:
             self.revision = roll.revision
+            self.addresses |= roll.addresses  # of an older list they may be of a node's former life
             self.arrive(("listed", roll.whole, roll.entries))
         else:
             self.arrive(("listed", False, []))
 
     def follow(self, on: bool) -> None:
+        self.wanted = on
         if self.watching is not None:
             self.loop.end(self.watching)
             self.watching = None
         if on:
-            self.watching = self.loop.spawn(self._watch())
+            watching = self.loop.spawn(self._watch())
+            self.watching = None if watching.over else watching  # it may fail at once, as it is started
 
     def fetch(self) -> None:
         if not self.fetching:
@@ -60,16 +64,24 @@
 
     def _watch(self) -> Generator[Wait, bool, None]:
         """The life of a watch: the first answer at once, then each as it comes, until a call fails. The first
-        answer of another address is its whole list, whatever its revision."""
+        answer of another address is its whole list, whatever its revision; so is the next one where discovery has
+        started over, as its changes do not tell what has gone. An answer before its time that says nothing new fails
+        too: asked again at once it would be again, as fast as the network goes."""
         client, wait = Client(self.loop, self.discovery), 0.0
         try:
             while True:
-                since, until = self.revision, self.loop.now + (wait + WATCH_OVER if wait else CALL_MOST)
-                path, since = (ROLL_PATH, inf) if self.moved else (watch_path(since, wait), since)
+                asked, since = self.loop.now, self.revision
+                path, since = (ROLL_PATH, inf) if self.anew else (watch_path(since, wait), since)
+                until = asked + (wait + WATCH_OVER if wait else CALL_MOST)
                 roll = self.codec.roll(parsed((yield from client.get(path, until))))
-                self.moved = False
+                self.anew = roll.revision < since < inf and not roll.whole
+                if self.anew:
+                    raise Ended(Ending.UNREADABLE, f"changes up to {roll.revision} since {since}")
                 if not wait or roll.whole or roll.entries:  # a wait that brought nothing is no news
                     self.take(roll, since)
+                elif roll.revision == since and self.loop.now - asked < EARLY * wait:
+                    raise Ended(Ending.UNREADABLE, "nothing, before its time")
+                self.revision = max(self.revision, roll.revision)  # also where nobody has changed
                 wait = self.wait
         except Ended as ended:
             self.watching = None
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -135,13 +135,18 @@
                 self.calls.append(sock)
         except BlockingIOError:
             pass
-        for at, sock in enumerate(self.calls):
+        for sock in [*self.calls]:
             try:
-                if data := sock.recv(65536):
-                    self.calls.append(self.calls.pop(at))
-                    return data.split(b"\r\n")[0].decode()
-            except (BlockingIOError, OSError):
-                pass
+                data = sock.recv(65536)
+            except BlockingIOError:
+                continue
+            except OSError:
+                data = b""
+            self.calls.remove(sock)
+            if data:
+                self.calls.append(sock)
+                return data.split(b"\r\n")[0].decode()
+            sock.close()  # the conductor has left it
         return None
 
     def flood(self, end, left):
@@ -226,6 +231,8 @@
             pad = b"x" * (int(rest[0]) - len(head % 0) - len(empty))
             body, other = empty.replace(b'""', b'"%s"' % pad), line.split(maxsplit=3)[3].encode()
             self.calls[-1].sendall(head % len(body) + body + head % len(other) + other)
+        elif do == "older":
+            self.calls.append(self.calls.pop(-2))
         elif do == "unasked":
             self.quiet()
             assert (found := self.call()) is None, f"{line}: {found}"
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -281,6 +281,9 @@
         patch.setattr(socket, "socket", full)
         for line in ("order fetch_roll", "told unlisted") * 2:
             one.play(line)
+        for line in ("order follow true", "told unlisted"):
+            one.play(line)
+        assert one.rounds.watcher.watching is None  # Failure: it was noted as standing after it had ended
     for line in ("order fetch_roll", "asked /v1/servers"):
         one.play(line)
     one.close()
