An event of a closed descriptor does not resume the next owner of its number

net/loop.py, turn(): events of one poll were given to whoever waits at the number when its turn comes. A connection ended in that turn frees its number; one dialled in the same turn gets it, and with the old one's hang-up in the batch it was resumed as up before it was. For streams the stale event costs one read that would block, so only dials were at fault. Numbers closed in a turn are passed over for the rest of it; epoll is level-triggered and tells the next owner's events in the next turn.

--- a/oatcart/net/loop.py
+++ b/oatcart/net/loop.py
@@ -43,6 +43,7 @@
         self.waiting: dict[tuple[int, int], Task] = {}  # by descriptor and event
         self.timers: list[tuple] = []  # (when, number, task or call, the task's turn)
         self.timed = 0
+        self.closed: set[int] = set()  # descriptors since the last poll
         self.open, self.open_most = 0, inf  # connections, whoever dialled; for how many there are descriptors
         self.now = clock()
 
@@ -62,6 +63,7 @@
 
     def close(self, fd: int) -> None:
         """Forget a descriptor that its owner is about to close."""
+        self.closed.add(fd)
         if self.masks.pop(fd, 0):
             self.poll.unregister(fd)
         for event in (IN, OUT):
@@ -73,11 +75,16 @@
 
     def turn(self, longest: float = inf) -> None:
         """Wait for what comes next, `longest` at most, and run all that is due."""
+        self.closed.clear()
         wait = max(0.0, min(self.due_in(), longest))
         events = self.poll.poll(None if wait == inf else wait, EVENTS_MOST)
         self.now = self.clock()
         for fd, mask in events:
             for event in (IN, OUT):
+                # Closed in this turn, its number may be another's: what came was for the owner that is gone. A new
+                # connection would be taken as up before it is.
+                if fd in self.closed:
+                    break
                 if mask & (event | GONE_WRONG) and (task := self.waiting.get((fd, event))):
                     self._resume(task, True)
         while self.timers and self.timers[0][0] <= self.now:
