What lies unread when a stranger's time is over, or its room is wanted, is read first

net/stream.py, _fill(): a deadline that fired before the connection's event was handled (more than 256 events in a turn, a slow turn) closed a stranger whose joining lay in the socket; net/door.py, _let_in(): so did the oldest stranger's making way. Both were forced over loopback (tests/test_crossings.py), with one event a turn and with the acceptor's event ahead, and seen failing with the look taken out; that whoever never stops gets one look and no more has a test that fails without its bound. Ruled out: those that waited long in the backlog, as the time runs from the accept and what came with them is read at once.

--- a/oatcart/net/door.py
+++ b/oatcart/net/door.py
@@ -58,16 +58,20 @@
 
     def _let_in(self, sock: socket.socket) -> None:
         """Where there is no room the oldest stranger makes way, else this one; never who is in use. What has come
-        already is read first: in a flood of strangers a proxy is none."""
+        already is read first, of this one and of the oldest: in a flood of strangers a proxy is none."""
         stream = Stream(self.loop, sock, STRANGER_LINE, STRANGER_LINE, STRANGER_LINE)
         self.strangers[stream] = None
         life = self.loop.spawn(self._life(stream))
         if stream.sock.fileno() < 0:
             return  # it was over at once
         self.lives[stream] = life
+        while self.loop.open > self.loop.open_most and self.strangers:
+            oldest = next(iter(self.strangers))
+            oldest.late = Ending.CROWDED
+            self.loop.expire(self.lives[oldest])
         if self.loop.open > self.loop.open_most:
             self.log.say("door", f"a stranger gone: {Ended(Ending.CROWDED)}")
-            self._end(next(iter(self.strangers), stream))
+            self._end(stream)
 
     def _life(self, stream: Stream) -> Generator[Wait, bool, None]:
         """The life of a connection, whoever is at its other end. Until it has joined it has one deadline, whatever
--- a/oatcart/net/loop.py
+++ b/oatcart/net/loop.py
@@ -61,6 +61,10 @@
         self._forget(task)
         task.steps.close()
 
+    def expire(self, task: Task) -> None:
+        """Have the time be over that a task waits for."""
+        self._resume(task, False)
+
     def close(self, fd: int) -> None:
         """Forget a descriptor that its owner is about to close."""
         self.closed.add(fd)
--- a/oatcart/net/stream.py
+++ b/oatcart/net/stream.py
@@ -30,6 +30,8 @@
         self.start = self.seen = self.end = 0  # bytes handed out, searched and read
         self.unsent = bytearray()
         self.fresh = True  # nothing was read yet: what may have come with the connection is not waited for
+        self.late = Ending.SILENT  # what it is to whoever waits here when the time is over
+        self.looked = False  # once more since the time was over
         self.widen(room, most, unsent_most)
 
     def widen(self, room: int = ROOM, most: int = MESSAGE_MOST, unsent_most: int = UNSENT_MOST) -> None:
@@ -71,13 +73,15 @@
     def _fill(self, until: float) -> Generator[Wait, bool, int]:
         self._make_room()
         while True:
-            if self.fresh:
-                self.fresh = False
-            elif not (yield Wait(self.fd, IN, until)):
-                raise Ended(Ending.SILENT)
+            over = not self.fresh and not (yield Wait(self.fd, IN, until))
+            if over and self.looked:  # else whoever never stops would never be late
+                raise Ended(self.late)
+            self.fresh, self.looked = False, over
             try:
                 size = self.sock.recv_into(self.view[self.end:])
             except BlockingIOError:
+                if over:
+                    raise Ended(self.late) from None
                 continue
             except OSError as error:
                 raise ended_by(error) from None
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,11 @@
 import socket
 from contextlib import ExitStack
 
+import stage
+
+from oatcart.net import loop
+from oatcart.net.door import STRANGER_MOST
+from oatcart.net.ending import Ended, Ending
 from oatcart.net.loop import IN, OUT, Loop, Wait
 from oatcart.net.stream import Stream, dial
 
@@ -26,33 +31,109 @@
 def test_an_event_of_a_closed_descriptor_is_not_its_next_owners():
     """Failure: of two connections that hang up in one poll the first to be resumed ended the other and
     dialled; the dial got the other's number and its event, and counted as up while nobody had taken it."""
-    loop, up = Loop(lambda: 0.0, raising), []
+    turns, up = Loop(lambda: 0.0, raising), []
     with ExitStack() as stack:
         pairs = [socket.socketpair() for _ in range(2)]
         for one in (*pairs[0], *pairs[1]):
             stack.enter_context(one)
-        streams = [Stream(loop, ours) for ours, _ in pairs]
+        streams = [Stream(turns, ours) for ours, _ in pairs]
         address = full_listener(stack)
 
         def dials():
-            stream = yield from dial(loop, address, 1.0)
+            stream = yield from dial(turns, address, 1.0)
             up.append(stream)
 
         def reads(mine, other):
             yield Wait(mine.fd, IN)
             number = other.fd
             other.close()
-            loop.spawn(dials())
-            assert (number, OUT) in loop.waiting, "the dial has its number"
+            turns.spawn(dials())
+            assert (number, OUT) in turns.waiting, "the dial has its number"
 
         for mine, other in (streams, streams[::-1]):
-            loop.spawn(reads(mine, other))
+            turns.spawn(reads(mine, other))
         for _, theirs in pairs:
             theirs.shutdown(socket.SHUT_RDWR)  # both hang up
-        loop.turn(0.0)
+        turns.turn(0.0)
         assert not up
-        for task in [*loop.waiting.values()]:
-            loop.end(task)
+        for task in [*turns.waiting.values()]:
+            turns.end(task)
         for stream in streams:
             stream.close()
-        loop.poll.close()
+        turns.poll.close()
+
+
+JOINED = b'{"msg":"joined","sidecar":%d,"az":"a","share":1}\n'
+
+
+def stage_with(stack, proxies=(), **cfg):
+    """A stage, and the ends of proxies that have joined it."""
+    one = stage.Stage(cfg)
+    stack.callback(one.close)
+    return one, [dial_in(stack, one, JOINED % proxy) for proxy in proxies]
+
+
+def dial_in(stack, one, said=b""):
+    end = stack.enter_context(socket.create_connection(one.listener.getsockname()))
+    end.setblocking(False)
+    end.sendall(said)
+    one.quiet()
+    return end
+
+
+def test_a_joining_that_lies_unread_at_a_strangers_deadline_is_read_first(monkeypatch):
+    """Failure: with more events than one turn takes, or a slow turn, the deadline came first and closed a proxy."""
+    with ExitStack() as stack:
+        one, [other] = stage_with(stack, [1])
+        stranger, _ = dial_in(stack, one), dial_in(stack, one)
+        other.sendall(b'{"msg":"ping"}\n')
+        stranger.sendall(JOINED % 2)
+        one.now += STRANGER_MOST
+        monkeypatch.setattr(loop, "EVENTS_MOST", 1)
+        one.turn()
+        assert [*one.rounds.streams] == [1, 2]
+        assert not one.door.strangers and "a stranger gone: nothing came in time" in one.out.getvalue()
+
+
+def test_who_never_stops_is_late_all_the_same():
+    """What lies unread at a deadline is looked for once."""
+    turns, reads, ended = Loop(lambda: 5.0, raising), [], []
+    ours, theirs = socket.socketpair()
+
+    class Endless:
+        fileno, setblocking, close = ours.fileno, ours.setblocking, ours.close
+
+        def recv_into(self, view):
+            assert len(reads) < 10
+            reads.append(5.0)
+            view[:2] = b"x\n"
+            return 2
+
+    def life(stream):
+        try:
+            while True:
+                yield from stream.line(4.0)
+        except Ended as error:
+            ended.append(error.ending)
+            stream.close()
+
+    with theirs:
+        turns.spawn(life(Stream(turns, Endless())))
+        turns.turn(0.0)
+    assert ended == [Ending.SILENT] and len(reads) == 2  # what came with the connection, and one look
+    turns.poll.close()
+
+
+def test_the_oldest_stranger_is_read_before_it_makes_way():
+    """Failure: where there was no room it was closed with its joining unread, and so might a whole fleet that dials be."""
+    with ExitStack() as stack:
+        one, _ = stage_with(stack, room=2)
+        oldest, next_one = dial_in(stack, one), dial_in(stack, one)
+        newest = stack.enter_context(socket.create_connection(one.listener.getsockname()))
+        oldest.sendall(JOINED % 1)  # behind the newest, so the acceptor's turn is first
+        next_one.sendall(b'{"msg":"jo')
+        one.quiet()
+        assert [*one.rounds.streams] == [1] and one.out.getvalue().count("a stranger gone: there was no room") == 1
+        newest.sendall(JOINED % 2)
+        one.quiet()
+        assert [*one.rounds.streams] == [1, 2]
