--- a/oatcart/net/conductor.py
+++ b/oatcart/net/conductor.py
@@ -36,7 +36,7 @@
     def start(self, call: Callable, watcher: Watcher, prober: Prober) -> None:
         self.call, self.watcher, self.prober = call, watcher, prober
 
-    def serve(self, end: Callable[[Stream], None]) -> None:
+    def ends_by(self, end: Callable[[Stream], None]) -> None:
         """`end` ends the life of a stream, which tells that its proxy has left."""
         self.end = end
 
--- a/oatcart/net/door.py
+++ b/oatcart/net/door.py
@@ -29,7 +29,7 @@
         self.lives: dict[Stream, Task] = {}  # of all connections
         self.strangers: dict[Stream, None] = {}  # those that have not said who they are, oldest first
         self.collectors: dict[Stream, str] = {}  # their zones, oldest first
-        rounds.serve(self._end)
+        rounds.ends_by(self._end)
 
     def limit(self, descriptors: int) -> None:
         self.loop.open_most = max(1, descriptors - KEPT_BACK)
