The channel's cap counts all that no answer proves gone; each round that sends bears a mark

Ruled out: messages over the cap, lists told late, proxies unbound (0 at the times), starts (0.1 to 0.2 s). Change: the cap counts booked less answered, whatever the rate; each round that sends bears a mark (its line was booked already); a round's heads are its own; a pace is shown by what waited and was not answered.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -139,15 +139,14 @@
     limits: our.ChannelLimits
     queued: float = 0.0
     at: float = 0.0
-    booked: float = 0.0  # of all time; up to the last round; what has left by the answers
-    ended: float = 0.0
+    booked: float = 0.0  # of all time; before this round; what has left by the answers
+    began: float = 0.0
     left: float = 0.0
-    flying: float = 0.0  # of what neither waits by the books nor is answered, what a slow channel may hold
     heard: float = 0.0  # the last sign of life from those who have something to answer
     pace: float = 0.0  # lines a second that answers show; when, what had left, what was unanswered
     paced: tuple = (LONG_AGO, 0.0, 0.0)
     heads: int = 0  # of this round
-    rounds: list = field(default_factory=list)  # mark, booked before it and in it, heads, answers
+    rounds: list = field(default_factory=list)  # mark, what has left by it, by each answer, by all of them
 
     def claim(self, proxies: dict[int, Proxy], lines: int, part: float, least: int = 0, new: int = 0) -> int:
         """Book so many lines to each proxy, or as many from the least on as this part of the caps allows."""
@@ -160,12 +159,12 @@
                 return 0
         heads = len(fresh) * (limits.head + 1)
         held = sum(proxy.held for proxy in proxies.values()) if new else 0  # told if a new node is out
-        if limits.queue_most and proxies:  # drains by the dozen overran it too
-            queue = limits.queue_most * QUEUE_PART - self.flying
+        if limits.queue_most and proxies:  # all that no answer proves gone may wait still, however slow it is
+            queue = limits.queue_most * QUEUE_PART - (self.booked - self.left)
             if part not in (URGENT_PART, 1.0):  # what waits delays drains too
                 part = part if part < URGENT_PART else QUEUE_PART
-                queue = min(queue, part * min(limits.queue_most, self.pace * ACK_WAIT))
-            room = (queue - self.queued - heads) / (len(proxies) + held)
+                queue = min(queue, part * min(limits.queue_most, self.pace * ACK_WAIT) - self.queued)
+            room = (queue - heads) / (len(proxies) + held)
             if room < (least or lines):
                 return 0
             lines = min(lines, int(room))
@@ -177,27 +176,28 @@
 
     def turn(self, now: float) -> None:  # by the line rate; where answers show a slower channel, by those
         rate, (then, left, waited) = self.limits.line_rate, self.paced
+        self.began, self.heads = self.booked, 0
         if now - self.heard > ACK_LATE + SLOWEST * self.limits.queue_most / rate:
-            self.rounds, self.left = [], self.ended  # nobody is left to tell
-        unproved = self.ended - self.left
-        if now - then >= ACK_LATE:  # less than what may be on its way shows nothing
-            shown = (self.left - left) / (now - then) if waited > rate * ACK_LATE else rate
+            self.rounds, self.left = [], self.booked  # nobody is left to tell
+        unproved = self.booked - self.left
+        if now - then >= ACK_LATE:  # all of what waited, or little, shows nothing
+            slow = self.left - left < waited > rate / SLOWEST * ACK_LATE
+            shown = (self.left - left) / (now - then) if slow else rate
             self.pace, self.paced = min(rate, max(rate / SLOWEST, shown)), (now, self.left, unproved)
         self.queued = max(0.0, self.queued - (now - self.at) * rate, unproved - self.pace * ACK_LATE)
-        self.flying, self.at = max(0.0, unproved - self.queued) * (1.0 - self.pace / rate), now
+        self.at = now
 
     def end_round(self, mark: int) -> None:  # all that was sent in it bears the mark
-        self.heard = self.heard if self.left < self.ended else self.at
-        self.rounds.append([mark, self.ended, self.booked - self.ended, self.heads, 0])
-        self.ended, self.heads = self.booked, 0
+        self.heard = self.heard if self.left < self.began else self.at
+        self.rounds.append([mark, self.began, (self.booked - self.began) / self.heads, self.booked])
 
     def answered(self, mark: int) -> None:  # what was sent before has left, of this round what is answered
         at = (mark - self.rounds[0][0]) % our.MARKS if self.rounds else 0
         if at < len(self.rounds):
             del self.rounds[:at]
-            self.rounds[0][4] += 1
-            _, before, lines, heads, answers = self.rounds[0]
-            self.left, self.heard = before + lines * min(1.0, answers / heads), self.at
+            _, left, more, most = self.rounds[0]
+            self.rounds[0][1] = self.left = min(most, left + more)
+            self.heard = self.at
 
 
 class Conductor:
@@ -218,7 +218,7 @@
         self.following, self.ask_wait = not roll.must_ask, ASK_AGAIN
 
     def round(self, now: float, arrivals: our.Arrivals, orders: our.OrderWriter) -> None:
-        self.now, self.orders, self.published = now, orders, False
+        self.now, self.orders = now, orders
         self.channel.turn(now)
         for name, *fields in arrivals:
             getattr(self, "take_" + name)(*fields)
@@ -227,7 +227,7 @@
             self.look_at = now + LOOK_EVERY - CLOCK_STEP
             orders.wake(LOOK_EVERY)
             self.look()
-        if self.channel.heads and (self.published or self.channel.queued > self.channel.limits.line_rate):
+        if self.channel.heads:
             self.mark = (self.mark + 1) % our.MARKS
             orders.ask_ack(self.mark, False)
             self.channel.end_round(self.mark)
@@ -588,7 +588,6 @@
             self.orders.line(table.place, node, weight)
         table.lines = {node: weight for node, weight in (table.lines | sent).items() if weight}
         if sent and table.proxies:
-            self.published = True
             table.mark, table.waiting, table.changed_at = self.mark + 1, set(table.proxies), self.now
 
     def steer(self, table: Table) -> None:  # less under strain, once sums show the last cut; slowly back
