A configuration of another conductor is refused whole; no list at hand asks for one

net/start.py, take(): on SIGHUP a file with another name or listen address had its discovery and descriptors taken in and the rest told of. Also there: nesting without end raised RecursionError, which ended the task that takes files in, for good; and with no "known" in the configuration no first round was due, so discovery was asked only once somebody had joined. Ruled out in reading: signals before the first handler (ignored or ending by default), two in a row and one while the file is read (a byte on the wake pair each, net/reload.py).

--- a/oatcart/net/reload.py
+++ b/oatcart/net/reload.py
@@ -32,18 +32,19 @@
 
 def reloads(loop: Loop, log: Log, woken: socket.socket, take: Callable[[], str]) -> Generator[Wait, bool, None]:
     """The life of all reloads: `take` reads the file, hands on what may change, and says what it did."""
-    again, tries = inf, 0
+    again, tries, said = inf, 0, ""
     while True:
         if (yield Wait(woken.fileno(), IN, again)):
-            tries = 0
+            tries, said = 0, ""
             with suppress(BlockingIOError):
                 while woken.recv(64):
                     pass
         again = inf
         try:
             log.say("reload", take())
-        except Unusable as error:  # the old one stays in force, as a whole
-            log.say("reload", f"{error}; the old configuration stays in force")
+        except Unusable as error:  # the old one stays in force, as a whole; said once
+            if said != (said := str(error)):
+                log.say("reload", f"{error}; the old configuration stays in force")
             tries += 1
             if tries <= AGAIN_MOST:
                 again = loop.now + AGAIN_AFTER
--- a/oatcart/net/start.py
+++ b/oatcart/net/start.py
@@ -19,14 +19,17 @@
 from oatcart.net.roll import Watcher
 from oatcart.policy import Conductor
 
-AT_START = "name", "listen", "settings"  # what is taken from the configuration once
+ITS_OWN = "name", "listen"  # a file in which these differ is another conductor's
+AT_START = ("settings",)  # what is taken from the configuration once
+# Raised over what cannot be used; nesting without end is one more kind of that
+_UNFIT = ArithmeticError, AttributeError, LookupError, TypeError, ValueError, RecursionError, Ended, OSError
 WATCH_PART = 0.5  # of the time without a call after which news counts as told: a lost watch shows well within it
 
 
 def read(cfg: Mapping, name: str, turn: Callable) -> object:
     try:
         return turn(cfg[name])
-    except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError, Ended, OSError) as error:
+    except _UNFIT as error:
         raise Unusable(f"{name} cannot be used: {error!r}") from None
 
 
@@ -60,6 +63,7 @@
     door = Door(loop, log, codec, rounds, read(cfg, "limits", descriptors))
     if "known" in cfg:
         watcher.take(read(cfg, "known", codec.roll))
+    rounds.due = True  # also with no list at hand: the first round is what asks discovery for one
     rounds.turn()  # from here on it can decide, so whoever asks may be answered
     listener = read(cfg, "listen", lambda address: door.listen(wire.address(address)))
     log.say("start", "{} listens at {}:{}, {} nodes known".format(
@@ -68,6 +72,9 @@
     def take() -> str:
         """What a running conductor takes from a new configuration; nothing of it unless all can be used."""
         new = read(os.environ, "EDGE_CONFIG", configuration)
+        for field in ITS_OWN:
+            if new.get(field) != cfg.get(field):
+                raise Unusable(f"{field} cannot be used: {new.get(field)!r} is not this conductor's")
         discovery, most = read(new, "discovery", wire.address), read(new, "limits", descriptors)
         door.limit(most)
         watcher.move(discovery)
