A probe's outcome counts only while the address asked is still the node's

net/probe.py, _probe(): the outcome was told by number, so a probe under way while its node was dropped and the number given on spoke of another node, and one at a former address of its node's new life. Forced over loopback (tests/sockets/probe_crossings.txt), seen failing without the check. In the program as it stands the first can't come about: the module drops a node 30 s after it has gone (policy.py, KEPT_GONE) and a probe ends after connectTimeout; the second can, when a node is back within that time. Ruled out: a queued report or an unsent order that names a freed number (conductor.py, turn(): all arrivals are drained and all orders encoded by id before a number is freed).

--- a/oatcart/net/probe.py
+++ b/oatcart/net/probe.py
@@ -23,13 +23,15 @@
         self.loop.spawn(self._probe(node))
 
     def _probe(self, node: int) -> Generator[Wait, bool, None]:
-        """The life of a probe: dial, ask, and tell the module how it ended."""
+        """The life of a probe: dial, ask, and tell the module how it ended. Where the node has another address by
+        then, or its number is another's, it has shown nothing of who is there now."""
+        address = self.addresses.get(node)
         began, told, ending = self.loop.now, (None, None, None), Ending.DONE
         self.under_way += 1
         try:
-            if self.under_way > PROBES_MOST or self.loop.open >= self.loop.open_most or node not in self.addresses:
+            if self.under_way > PROBES_MOST or self.loop.open >= self.loop.open_most or address is None:
                 raise Ended(Ending.CROWDED)
-            client = Client(self.loop, self.addresses[node])
+            client = Client(self.loop, address)
             try:
                 body = yield from client.get(LOAD_PATH if self.reports else HEALTH_PATH, began + self.within)
             finally:
@@ -39,4 +41,5 @@
             ending = ended.ending
         finally:
             self.under_way -= 1
-        self.arrive(("probed", node, PROBE_OUTCOMES[ending], self.loop.now - began, told))
+        if self.addresses.get(node) == address:
+            self.arrive(("probed", node, PROBE_OUTCOMES[ending], self.loop.now - began, told))
