Figures of the settings that nothing can stand in for are required, and named where missing

handover.py stood in for a missing pushRate with 1,000 lines a second, for a missing aim and period with 1 s, for a missing updateWindow with 10 s: figures of one deployment. Tests were seen failing without it (the conductor started). The configurations of tests and benchmarks that left them out name them now.

--- a/benchmarks/nested.py
+++ b/benchmarks/nested.py
@@ -18,8 +18,8 @@
 WAYS = {"plain": ["oatcart"], "nested": ["oatcart.xds", "xds.yaml"]}
 CONFIG = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "limits": {"sockets": 64},
           "known": {"revision": 1, "complete": True, "members": []},
-          "settings": {"quantum": 2.0, "zones": ["a"], "membershipMode": "push", "grades": [{"name": "lookup"}],
-                       "specifics": {"proxyCount": 4}}}
+          "settings": {"quantum": 2.0, "zones": ["a"], "membershipMode": "push", "grades": [{"name": "lookup", "aim": 500.0}],
+                       "specifics": {"proxyCount": 4, "pushRate": 1000.0, "period": 1000.0}}}
 
 
 def pings(way: str, folder: Path) -> list[float]:
--- a/oatcart/handover.py
+++ b/oatcart/handover.py
@@ -22,16 +22,24 @@
     return default if value is None else value / 1000
 
 
+def needed(table: dict, key: str, where: str, least: float = 1e-9) -> float:
+    """A figure that nothing can stand in for: any other would be some other deployment's."""
+    value = table.get(key)
+    if not is_amount(value) or value < least:
+        raise LookupError(f"{where}.{key} is {value!r}")
+    return value
+
+
 def _given(record: type, **values):
     """A record with the values that are there; the others keep its defaults."""
     return record(**{key: value for key, value in values.items() if value is not None})
 
 
-def _req_kind(grade: dict, home: bool, zones: list[str]) -> our.ReqKind:
+def _req_kind(place: int, grade: dict, home: bool, zones: list[str]) -> our.ReqKind:
     names = grade.get("onlyZones") or []
     return our.ReqKind(
         value=grade.get("worth", 1.0),
-        response_target=seconds(grade, "aim", 1.0),
+        response_target=needed(grade, "aim", f"grades[{place}]") / 1000,
         repeat=_REPEATS.get(grade.get("idempotency"), our.NON_REPLAYABLE),
         home_zone=home,
         zones=tuple(zones.index(z) if isinstance(z, str) else int(z) for z in names if z in zones or
@@ -44,19 +52,19 @@
     plane, rules = settings.get("specifics") or {}, settings.get("rules") or {}
     home = plane.get("zoneBound") or []
     return dict(
-        kinds=[_req_kind(grade, place < len(home) and home[place], settings.get("zones") or [])
+        kinds=[_req_kind(place, grade, place < len(home) and home[place], settings.get("zones") or [])
                for place, grade in enumerate(settings.get("grades") or [])],
         roll=our.RollManners(
             must_ask=settings.get("membershipMode") == "subscribe",
             nominal_told=settings.get("weights", "off") != "off"),
         channel=_given(
-            our.ChannelLimits, line_rate=plane.get("pushRate"), head=plane.get("envelope"),
+            our.ChannelLimits, line_rate=needed(plane, "pushRate", "specifics"), head=plane.get("envelope"),
             queue_most=plane.get("queueCap"), messages_most=plane.get("messagesMost"),
-            messages_over=seconds(plane, "updateWindow", 10.0)),
+            messages_over=needed(plane, "updateWindow", "specifics") / 1000 if plane.get("messagesMost") else None),
         cold=_given(
             our.ColdLimits, warm_after=seconds(rules, "cold"), share_at_start=rules.get("coldShare"),
             fall_multiple=rules.get("tipMultiple")),
-        report_period=seconds(plane, "period", 1.0),
+        report_period=needed(plane, "period", "specifics", 0.0) / 1000,
         admitting=_ADMITS.get(plane.get("admit"), our.NOT_AT_ALL),
         crossing_price=(settings.get("penalties") or {}).get("crossZone", 0.0),
         may_probe=bool((settings.get("policyLimits") or {}).get("probes")),
--- a/oatcart/net/start.py
+++ b/oatcart/net/start.py
@@ -24,6 +24,8 @@
 # Raised over what cannot be used; nesting without end is one more kind of that
 _UNFIT = ArithmeticError, AttributeError, LookupError, TypeError, ValueError, RecursionError, Ended, OSError
 WATCH_PART = 0.5  # of the time without a call after which news counts as told: a lost watch shows well within it
+UNASKED_MOST = 8.0  # s without a call where the settings tell none: half of it and 2 s more are the protocol's 6
+PROBE_MOST = 1.0  # s for a probe where the settings tell no time for a connection: the next one comes a second later
 
 
 def read(cfg: Mapping, name: str, turn: Callable) -> object:
@@ -55,8 +57,8 @@
     rounds = make_rounds(loop, log, codec, seconds(settings, "quantum"), time.time())
     allowed, reports = settings.get("policyLimits") or {}, settings.get("report") or {}
     watcher = Watcher(loop, codec, log, read(cfg, "discovery", wire.address),
-                      WATCH_PART * seconds(settings.get("rules") or {}, "askWithin", 10.0), rounds.arrive)
-    prober = Prober(loop, reports.get("how", "off") != "off", seconds(allowed, "connectTimeout", 0.25),
+                      WATCH_PART * seconds(settings.get("rules") or {}, "askWithin", UNASKED_MOST), rounds.arrive)
+    prober = Prober(loop, reports.get("how", "off") != "off", seconds(allowed, "connectTimeout", PROBE_MOST),
                     watcher.addresses, rounds.arrive)
     seed = read(cfg, "seed", lambda text: int(text, 16))
     rounds.start(Conductor(seed=seed, **records).round, watcher, prober)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -291,7 +291,8 @@
 
 CONFIG = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f", "peers": [],
           "limits": {"sockets": 256}, "known": {"revision": 1, "complete": True, "members": []},
-          "settings": {"grades": [{"name": "lookup"}], "zones": ["a"], "specifics": {"proxyCount": 4}, "quantum": 2.0,
+          "settings": {"grades": [{"name": "lookup", "aim": 500.0}], "zones": ["a"], "quantum": 2.0,
+                       "specifics": {"proxyCount": 4, "pushRate": 1000.0, "period": 1000.0},
                        "membershipMode": "subscribe"}}
 
 
@@ -386,6 +387,18 @@
         assert one.wait(10) == 2 and said.startswith(f"config: {field} ") and said.count("\n") == 1, said
 
 
+@pytest.mark.parametrize("part, field, named", [
+    ("specifics", "pushRate", "specifics.pushRate"), ("specifics", "period", "specifics.period"),
+    ("specifics", "proxyCount", "proxyCount"), ("grades", "aim", "grades[0].aim")])
+def test_a_figure_that_nothing_can_stand_in_for_is_named(tmp_path, part, field, named):
+    """Failure: a channel of 1,000 lines a second, sums each second and a target of 1 s were taken, of some other deployment."""
+    settings = json.loads(json.dumps(CONFIG["settings"]))
+    del (settings[part][0] if part == "grades" else settings[part])[field]
+    with start(tmp_path, settings=settings) as one:
+        said = one.stderr.read()
+        assert one.wait(10) == 2 and said.startswith("config: settings ") and named in said and said.count("\n") == 1
+
+
 def test_same_events_same_orders():
     said = []
     for _ in range(2):
