--- a/tests/test_variants.py
+++ b/tests/test_variants.py
@@ -31,7 +31,6 @@
 [[class]]
 name = "write"
 share = [0.4, 0.5]
-
 # end
 '''
 
