--- a/oatcart/net/door.py
+++ b/oatcart/net/acceptor.py
@@ -22,7 +22,7 @@
 NO_ROOM_WAIT = 0.2  # s without accepting where there is no room; far within a proxy's redial
 
 
-class Door:
+class Acceptor:
     def __init__(self, loop: Loop, log: Log, codec: Codec, rounds: Rounds, descriptors: int) -> None:
         self.loop, self.log, self.codec, self.rounds = loop, log, codec, rounds
         self.limit(descriptors)
@@ -54,7 +54,7 @@
                 continue
             except OSError as error:
                 if error.errno != errno.ECONNABORTED:
-                    self.log.say("door", f"cannot accept: {ended_by(error)}")
+                    self.log.say("acceptor", f"cannot accept: {ended_by(error)}")
                     yield Wait(until=self.loop.now + NO_ROOM_WAIT)
 
     def _let_in(self, sock: socket.socket) -> None:
@@ -71,7 +71,7 @@
             oldest.late = Ending.CROWDED
             self.loop.expire(self.lives[oldest])
         if self.loop.open > self.loop.open_most:
-            self.log.say("door", f"a stranger gone: {Ended(Ending.CROWDED)}")
+            self.log.say("acceptor", f"a stranger gone: {Ended(Ending.CROWDED)}")
             self._end(stream)
 
     def _life(self, stream: Stream) -> Generator[Wait, bool, None]:
@@ -95,7 +95,7 @@
             else:
                 self._refuse(Odd(f"{told[0]!r} is no first message"))
         except Ended as ended:
-            self.log.say("door", f"{who} gone: {ended}")
+            self.log.say("acceptor", f"{who} gone: {ended}")
         finally:
             for kept in self.strangers, self.collectors, self.lives:
                 kept.pop(stream, None)
--- a/oatcart/net/http.py
+++ b/oatcart/net/http.py
@@ -10,8 +10,8 @@
 
 OK = 200
 HEAD_MOST = 16 * 1024  # bytes of an answer's head; h11's own default
-# s from a call's start: the protocol's time until a watch counts as a new one. A kept connection that ends later with no
-# word was ended over this call, by a server that is down or has too many, and whoever asked waits before the next
+# s from a call's start: the protocol's time until a watch counts as a new one. A kept connection that ends later with
+# no word was ended over this call, by a server that is down or has too many, and whoever asked waits before the next
 REPEAT_WITHIN = 0.2
 
 
--- a/oatcart/net/start.py
+++ b/oatcart/net/start.py
@@ -10,7 +10,7 @@
 from oatcart.handover import seconds, socket_records
 from oatcart.net import codec as wire
 from oatcart.net.conductor import Rounds
-from oatcart.net.door import Door
+from oatcart.net.acceptor import Acceptor
 from oatcart.net.ending import Ended
 from oatcart.net.log import Log
 from oatcart.net.loop import Loop
@@ -45,7 +45,7 @@
 
 
 def assemble(cfg: dict, woken: socket.socket,
-             make_rounds: Callable[..., Rounds] = Rounds) -> tuple[Loop, Rounds, Door]:
+             make_rounds: Callable[..., Rounds] = Rounds) -> tuple[Loop, Rounds, Acceptor]:
     """All parts, each with its own few settings; the module has had its first round when this returns. Whoever has
     another front beside the sidecars' hands in a kind of `Rounds` that serves it too."""
     settings = read(cfg, "settings", dict)
@@ -62,12 +62,12 @@
                     watcher.addresses, rounds.arrive)
     seed = read(cfg, "seed", lambda text: int(text, 16))
     rounds.start(Conductor(seed=seed, **records).round, watcher, prober)
-    door = Door(loop, log, codec, rounds, read(cfg, "limits", descriptors))
+    acceptor = Acceptor(loop, log, codec, rounds, read(cfg, "limits", descriptors))
     if "known" in cfg:
         watcher.take(read(cfg, "known", codec.roll))
     rounds.due = True  # also with no list at hand: the first round is what asks discovery for one
     rounds.turn()  # from here on it can decide, so whoever asks may be answered
-    listener = read(cfg, "listen", lambda address: door.listen(wire.address(address)))
+    listener = read(cfg, "listen", lambda address: acceptor.listen(wire.address(address)))
     log.say("start", "{} listens at {}:{}, {} nodes known".format(
         cfg.get("name"), *listener.getsockname(), len(codec.nodes)))
 
@@ -78,11 +78,11 @@
             if new.get(field) != cfg.get(field):
                 raise Unusable(f"{field} cannot be used: {new.get(field)!r} is not this conductor's")
         discovery, most = read(new, "discovery", wire.address), read(new, "limits", descriptors)
-        door.limit(most)
+        acceptor.limit(most)
         watcher.move(discovery)
         kept = [name for name in AT_START if new.get(name) != cfg.get(name)]
         return "discovery at {}:{}, {} descriptors{}".format(
             *discovery, most, f"; only a restart changes {', '.join(kept)}" if kept else "")
 
     loop.spawn(reloads(loop, log, woken, take))
-    return loop, rounds, door
+    return loop, rounds, acceptor
--- a/oatcart/xds/serve.py
+++ b/oatcart/xds/serve.py
@@ -31,7 +31,7 @@
     def __init__(self, cfg: dict, xds: Xds, woken: socket.socket,
                  traced: Callable[[Callable], Callable] = lambda make: make) -> None:
         self.xds = xds
-        self.loop, self.rounds, self.door = assemble(cfg, woken, traced(self._rounds))
+        self.loop, self.rounds, self.acceptor = assemble(cfg, woken, traced(self._rounds))
         records, codec = start_records(cfg["settings"]), self.rounds.codec
         zones = sorted(codec.zones, key=codec.zones.get)
         self.front = Front(
@@ -86,7 +86,7 @@
             await self.follower.stop()
         await self.server.stop()
         self.nested.stop()
-        self.door.listener.close()
+        self.acceptor.listener.close()
         close(self.loop)
 
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -10,7 +10,7 @@
 
 from oatcart.net import codec as wire
 from oatcart.net.conductor import Rounds
-from oatcart.net.door import KEPT_BACK, Door
+from oatcart.net.acceptor import KEPT_BACK, Acceptor
 from oatcart.net.log import Log
 from oatcart.net.loop import Loop
 from oatcart.net.probe import Prober
@@ -52,8 +52,8 @@
         watcher = Watcher(self.loop, self.codec, log, desk, 5.0, self.rounds.arrive)
         prober = Prober(self.loop, bool(cfg.get("reports", 1)), 0.25, watcher.addresses, self.rounds.arrive)
         self.rounds.start(self.round, watcher, prober)
-        self.door = Door(self.loop, log, self.codec, self.rounds, int(KEPT_BACK + cfg.get("room", 100)))
-        self.listener = self.door.listen(("127.0.0.1", 0))
+        self.acceptor = Acceptor(self.loop, log, self.codec, self.rounds, int(KEPT_BACK + cfg.get("room", 100)))
+        self.listener = self.acceptor.listen(("127.0.0.1", 0))
         self.woken, self.waker = socket.socketpair()
         self.woken.setblocking(False)
         self.discovery, self.closed = desk, []
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,7 +8,7 @@
 import stage
 
 from oatcart.net import loop
-from oatcart.net.door import STRANGER_MOST
+from oatcart.net.acceptor import STRANGER_MOST
 from oatcart.net.ending import Ended, Ending
 from oatcart.net.loop import IN, OUT, Loop, Wait
 from oatcart.net.stream import Stream, dial
@@ -94,7 +94,7 @@
         monkeypatch.setattr(loop, "EVENTS_MOST", 1)
         one.turn()
         assert [*one.rounds.streams] == [1, 2]
-        assert not one.door.strangers and "a stranger gone: nothing came in time" in one.out.getvalue()
+        assert not one.acceptor.strangers and "a stranger gone: nothing came in time" in one.out.getvalue()
 
 
 def test_who_never_stops_is_late_all_the_same():
@@ -211,7 +211,7 @@
         assert sorted(one.rounds.streams) == [*range(60)] and most <= one.loop.open_most
         one.now += STRANGER_MOST
         one.quiet()
-        assert not one.door.strangers and len(one.door.lives) == 60
+        assert not one.acceptor.strangers and len(one.acceptor.lives) == 60
         for at, end in enumerate(strangers):
             one.ends[at] = end
             assert one.has_ended(at) or one.has_ended(at), at  # behind its pongs
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -20,7 +20,7 @@
 from oatcart import interface as our
 from oatcart.net.codec import Codec
 from oatcart.net.conductor import Rounds
-from oatcart.net.door import NO_ROOM_WAIT
+from oatcart.net.acceptor import NO_ROOM_WAIT
 from oatcart.net.ending import Ended, Ending
 from oatcart.net.log import Log
 from oatcart.net.loop import Loop
@@ -204,10 +204,10 @@
     with socket.create_server(("127.0.0.1", 0)) as desk, woken, waker:
         cfg |= {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:{}".format(desk.getsockname()[1])}
         cfg["settings"]["membershipMode"] = "automatic"
-        loop, _, door = assemble(cfg, woken)
+        loop, _, acceptor = assemble(cfg, woken)
         desk.settimeout(5)
         call, _ = desk.accept()
-        with call, door.listener:
+        with call, acceptor.listener:
             call.settimeout(5)
             for _ in range(stage.QUIET):
                 loop.turn(stage.TURN)
@@ -241,7 +241,7 @@
 
 
 def test_no_room_to_accept_neither_spins_nor_ends():
-    """EMFILE pauses the door; what waits in the backlog is taken once there is room."""
+    """EMFILE pauses the acceptor; what waits in the backlog is taken once there is room."""
     one = stage.Stage({})
 
     class Full:
@@ -258,7 +258,7 @@
 
     full, listener = Full(), socket.create_server(("127.0.0.1", 0))
     listener.setblocking(False)
-    one.loop.spawn(one.door._accept(full))
+    one.loop.spawn(one.acceptor._accept(full))
     with listener, socket.create_connection(listener.getsockname()) as end:
         one.until(lambda: "no room" in one.out.getvalue(), "a line in the log")
         one.quiet()
@@ -353,8 +353,8 @@
     woken.setblocking(False)
     monkeypatch.setenv("EDGE_CONFIG", str(tmp_path / "cfg"))
     with woken, waker:
-        loop, rounds, door = assemble(CONFIG, woken)
-        with door.listener:
+        loop, rounds, acceptor = assemble(CONFIG, woken)
+        with acceptor.listener:
             before = rounds.watcher.discovery, loop.open_most
             other = CONFIG | {"discovery": "127.0.0.1:2", "limits": {"sockets": 300}}
             for text, found in ((other | {field: "127.0.0.9:9"}, before),
@@ -373,8 +373,8 @@
         woken, waker = socket.socketpair()
         with woken, waker:
             cfg = {key: value for key, value in CONFIG.items() if key != "known"}
-            loop, _, door = assemble(cfg | {"discovery": "127.0.0.1:{}".format(desk.getsockname()[1])}, woken)
-            with door.listener:
+            loop, _, acceptor = assemble(cfg | {"discovery": "127.0.0.1:{}".format(desk.getsockname()[1])}, woken)
+            with acceptor.listener:
                 desk.accept()[0].close()
 
 
--- a/tests/xds/table.py
+++ b/tests/xds/table.py
@@ -47,7 +47,7 @@
         self.one.front.say = self.one.server.say = self.one.rounds.log.say
         if self.one.follower is not None:
             self.one.follower.say = self.one.rounds.log.say
-        self.sidecar_port = self.one.door.listener.getsockname()[1]
+        self.sidecar_port = self.one.acceptor.listener.getsockname()[1]
         self.port = await self.one.start()
 
     async def restart(self):
