--- a/oatcart/handover.py
+++ b/oatcart/handover.py
@@ -80,19 +80,12 @@
 
 
 def is_amount(value: object) -> bool:
-    """
-    >>> [is_amount(value) for value in (0, 2.5, -1, 1e300, float("nan"), True, "7", None)]
-    [True, True, False, False, False, False, False, False]
-    """
+    """Whether it is a figure from 0 to what anything here can be."""
     return isinstance(value, (int, float)) and not isinstance(value, bool) and 0 <= value <= AMOUNT_MOST
 
 
 def load(report: object) -> our.Load:
-    """A load report by our names; what is missing, negative, no number or no load is not told.
-
-    >>> load({"concurrent": 7, "util": -1, "other": 2}), load({"queue": float("nan")}), load(None)
-    ((7, None, None), (None, None, None), (None, None, None))
-    """
+    """A load report by our names; what is missing, negative, no number or no load is not told."""
     told = report if isinstance(report, dict) else {}
     held, busy, waiting = (next((value for name in names if is_amount(value := told.get(name))
                                  and value <= LOAD_MOST), None) for names in _LOADS)
