--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from oatcart.handover import AMOUNT_MOST, LOAD_MOST, is_amount, load
+from oatcart.handover import AMOUNT_MOST, LOAD_MOST, is_amount, load, start_records
 
 
 @pytest.mark.parametrize("value, fits", [
@@ -18,3 +18,12 @@
     ({"load_share": "0.5", "util": 0.25}, (None, 0.25, None)), (None, (None, None, None)), ([1], (None, None, None))])
 def test_a_load_report(report, told):
     assert load(report) == told
+
+
+def test_a_count_of_messages_needs_the_span_that_it_is_over():
+    """Failure: 10 s stood in for it, some other deployment's; without a count none is needed."""
+    plane = {"pushRate": 1000.0, "period": 1000.0}
+    assert start_records({"specifics": plane})["channel"].messages_most == 0
+    with pytest.raises(LookupError, match="specifics.updateWindow"):
+        start_records({"specifics": plane | {"messagesMost": 12}})
+    assert start_records({"specifics": plane | {"messagesMost": 12, "updateWindow": 5000.0}})["channel"].messages_over == 5.0
