--- /dev/null
+++ b/deploy/sites/variants.py
@@ -0,0 +1,112 @@
+"""Writes other deployments for the operators' bench from one of its site files: only what differs stands here.
+
+    python deploy/sites/variants.py ../given/kit/sites/lagos-lists.toml deploy/sites/out
+
+The files beside the site file that the bench reads with it are laid beside what is written. The output is not kept.
+"""
+
+import re
+import shutil
+import sys
+from pathlib import Path
+
+BESIDE = "real.json", "wire.json", "unlock.txt"
+# By section (a class or a kind of node by its name) and key: the new value, None to leave the whole section out
+VARIANTS = {
+    "quay-maps": {  # many zones, four kinds of req, a slow channel, few messages, a long grace
+        ("net", "zones"): '["quay-1", "quay-2", "quay-3", "quay-4", "quay-5", "hill", "mill"]',
+        ("net", "cross_ms"): "[3.0, 5.0]",
+        ("rules", "drain_grace_ms"): "6000",
+        ("prices", "cross_zone"): "0.05",
+        ("fam", "lines_per_s"): "[1500, 1900]",
+        ("fam", "backlog_ms"): "2000",
+        ("fam", "messages_most"): "10",  # the least that the bench takes but 0
+        ("fam", "standing"): "4",
+        ("class list-lookup", "share"): "[0.3, 0.4]",
+        ("class list-lookup", "worth"): "2",
+        ("class slot-update", "window_ms"): "5000",
+        ("class fee-charge", "share"): "[0.1, 0.15]",
+        ("kind full-speed", "name"): '"crane"',
+        ("kind slower", "name"): '"barge"',
+        "more": '''
+[[class]]
+name = "tide-tables"
+share = [0.15, 0.25]
+work_ms = [20, 40]
+dist = "lognormal"
+cv = [0.4, 0.6]
+attempt_noise = [0.1, 0.3]
+aim_ms = 300
+deadline_ms = 900
+worth = 0.5
+late_worth = 0.3
+effect = "safe"
+''',
+    },
+    "vault-seals": {  # half of the reqs may not run again, long cold, a fast channel, a short window for repeats
+        ("net", "zones"): '["vault-n", "vault-s"]',
+        ("rules", "drain_grace_ms"): "2000",
+        ("rules", "fall_multiple"): "3",
+        ("fam", "lines_per_s"): "[9000, 11000]",
+        ("fam", "backlog_ms"): "1000",
+        ("fam", "messages_most"): "20",
+        ("class list-lookup", "share"): None,
+        ("class slot-update", "share"): "[0.4, 0.5]",
+        ("class slot-update", "window_ms"): "800",
+        ("class slot-update", "deadline_ms"): "1500",
+        ("class fee-charge", "share"): "[0.5, 0.6]",
+        ("class fee-charge", "worth"): "8",
+        ("class fee-charge", "deadline_ms"): "2000",
+        ("kind full-speed", "cold_s"): "[20, 30]",
+        ("kind slower", "cold_s"): "[20, 30]",
+        ("kind full-speed", "cold_from"): "[0.15, 0.2]",
+    },
+}
+
+
+def sections(text: str) -> list[list[str]]:
+    """The lines of a site file, a section each; the first has no head."""
+    parts: list[list[str]] = [[]]
+    for line in text.splitlines():
+        if line.startswith("["):
+            parts.append([])
+        parts[-1].append(line)
+    return parts
+
+
+def title(lines: list[str]) -> str:
+    """`fam`, or `class fee-charge` where a section may stand more than once."""
+    head = lines[0].strip("[] ").split(".")[-1] if lines and lines[0].startswith("[") else ""
+    named = re.search(r'^name = "(.*)"', "\n".join(lines), re.M)
+    return f"{head} {named[1]}" if head in ("class", "kind") and named else head
+
+
+def varied(text: str, name: str) -> str:
+    """Another deployment's site file. Raises LookupError for a change that meets nothing."""
+    changes = {at: value for at, value in VARIANTS[name].items() if at != "more"} | {("", "name"): f'"{name}"'}
+    out, met = [], set()
+    for lines in sections(text):
+        where, gone = title(lines), False
+        for place, line in enumerate(lines):
+            at = where, line.split(" = ")[0]
+            if at in changes:
+                met.add(at)
+                gone = gone or changes[at] is None
+                lines[place] = f"{at[1]} = {changes[at]}"
+        out += [] if gone else lines
+    if left := changes.keys() - met:
+        raise LookupError(f"the site file has no {sorted(left)}")
+    return "\n".join(out) + "\n" + VARIANTS[name].get("more", "")
+
+
+def main() -> None:
+    site, folder = Path(sys.argv[1]), Path(sys.argv[2])
+    folder.mkdir(parents=True, exist_ok=True)
+    for name in BESIDE:
+        shutil.copyfile(site.parent / name, folder / name)
+    for name in VARIANTS:
+        (folder / f"{name}.toml").write_text(varied(site.read_text(), name))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -171,6 +171,11 @@
             self.ends[name].setblocking(False)
             self.read[name] = b""
             self.quiet()
+        elif do == "dials":  # with no turn of the loop in between, or after
+            for name in words[1:]:
+                self.ends[name] = socket.create_connection(self.listener.getsockname())
+                self.ends[name].setblocking(False)
+                self.read[name] = b""
         elif do == "say":
             self.ends[name].sendall(json.dumps({"msg": rest[0]} | fields(rest[1:])).encode() + b"\n")
         elif do == "raw":
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -187,3 +187,34 @@
         assert [*one.rounds.streams] == [*one.rounds.proxies] == [2]
         one.rounds.turn()
         assert one.said[-1] == "left 1"
+
+
+def test_floods_of_strangers_cost_a_rejoining_fleet_nothing():
+    """Silent, half-speaking, pinging and nonsensical strangers by the hundred, while sixty proxies dial and a call to
+    discovery is open: every proxy joins, every stranger is closed by its deadline, and descriptors stay under the limit."""
+    with ExitStack() as stack:
+        one, _ = stage_with(stack, room=80)
+        one.play("order follow true")
+        one.play("asked /v1/servers?since=0&timeout_ms=0")
+        strangers, proxies, most = [], [], 0
+        for number in range(60):
+            for text in b"", b'{"msg":"jo', b'{"msg":"ping"}\n' * 3, b"GET / HTTP/1.1\r\n\r\n", b"x" * 3000:
+                strangers.append(stack.enter_context(socket.create_connection(one.listener.getsockname())))
+                strangers[-1].setblocking(False)
+                strangers[-1].sendall(text)
+            proxies.append(stack.enter_context(socket.create_connection(one.listener.getsockname())))
+            proxies[-1].setblocking(False)
+            proxies[-1].sendall(JOINED % number)
+            one.turn()
+            most = max(most, one.loop.open)
+        one.quiet()
+        assert sorted(one.rounds.streams) == [*range(60)] and most <= one.loop.open_most
+        one.now += STRANGER_MOST
+        one.quiet()
+        assert not one.door.strangers and len(one.door.lives) == 60
+        for at, end in enumerate(strangers):
+            one.ends[at] = end
+            assert one.has_ended(at) or one.has_ended(at), at  # behind its pongs
+        one.play("order ask_ack 5 true")
+        one.quiet()
+        assert all(b'"nonce_out":5' in end.recv(4096) for end in proxies)
--- /dev/null
+++ b/tests/test_variants.py
@@ -0,0 +1,42 @@
+"""The script that writes other deployments for the bench, on a site file of the tests' own."""
+
+import pytest
+
+from deploy.sites import variants
+
+SITE = '''name = "one"
+[net]
+zones = ["a"]
+[[tier.kind]]
+name = "big"
+cores = 3
+[[class]]
+name = "read"
+share = [0.5, 0.6]
+[[class]]
+name = "write"
+share = [0.4, 0.5]
+'''
+
+
+def test_changes_meet_their_section_alone(monkeypatch):
+    changes = {("net", "zones"): '["x", "y"]', ("kind big", "cores"): "9", ("class read", "share"): None, "more": "# end\n"}
+    monkeypatch.setattr(variants, "VARIANTS", {"two": changes})
+    assert variants.varied(SITE, "two") == '''name = "two"
+[net]
+zones = ["x", "y"]
+[[tier.kind]]
+name = "big"
+cores = 9
+[[class]]
+name = "write"
+share = [0.4, 0.5]
+
+# end
+'''
+
+
+def test_a_change_that_meets_nothing_is_named(monkeypatch):
+    monkeypatch.setattr(variants, "VARIANTS", {"two": {("net", "zone"): "1"}})
+    with pytest.raises(LookupError, match=r"\('net', 'zone'\)"):
+        variants.varied(SITE, "two")
