The module's records of nodes, proxies, tables and sent rounds stand in records.py

Types may stand elsewhere; decisions and tuned values stay.

Change: Node, Proxy, Table move to oatcart/records.py; the list that a sent round was becomes the typed SentRound. The values that a node starts with are tuned, so policy.new_node sets them.

Measured: digest of all messages of benchmarks.rounds.fleet at 100 and 400 proxies x 50 and 200 nodes is the same before and after; tests/test_scenarios and test_hand_overs pass.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -11,6 +11,7 @@
 from statistics import median
 
 from oatcart import interface as our
+from oatcart.records import LONG_AGO, Node, Proxy, SentRound, Table
 
 # The paper's percentages (AADLB, 3.3); CPU and RAM as one load, bytes sent and received as one
 LOAD_PART, TREND_PART, DURATION_PART, BYTES_PART, ERROR_PART = 0.30, 0.20, 0.20, 0.20, 0.10
@@ -46,64 +47,12 @@
 LEVEL_LEAST, LEVEL_STEP, RATE_OPEN = 0.02, 0.04, 1e6  # share always let in; change sent; reqs/s, open
 TRIES_UNDER, TRIES_OVER = 0.45, 0.02  # strain, share errored: else a try cut off for another is just waste
 ASK_AGAIN, ASK_MOST, FETCH_EVERY = 0.5, 4.0, 20.0  # s; waits after a failed call; a full list now and then
-LONG_AGO, CLOCK_STEP, KEPT_GONE = -1e9, 0.001, 30.0  # s; before any start; clocks round; beyond any redial
+CLOCK_STEP, KEPT_GONE = 0.001, 30.0  # s; clocks round; beyond any redial
 
 
-@dataclass(slots=True)
-class Node:  # all that is known of it
-    zone: int = 0
-    state: int = our.GONE
-    turned_at: float = LONG_AGO  # when the list last said ready or not (a drain that ends waits on), if ever
-    started: float = 0.0  # 0: long ago
-    nominal: float = 1.0
-    eased_at: float = LONG_AGO  # when its ramp began
-    load: float | None = None  # percent
-    loads: deque = field(default_factory=lambda: deque(maxlen=TREND_OVER))
-    room: float = ROOM
-    good: float = 0.0  # answers, their durations, tries and errors of the last seconds
-    took: float = 0.0
-    tried: float = 0.0
-    errored: float = 0.0
-    answered: int = 0  # answers heard since the last look
-    share: float = 0.0  # of the answers heard
-    answers_then: float = 0.0  # answers of all nodes when this one last answered, and when that was
-    answered_at: float = 0.0
-    score: float = FLAT
-    out: bool = False  # withdrawn on evidence
-    out_at: float = LONG_AGO
-    hold: float = HOLD
-    passes: int = 0  # probes answered in a row
-    shut: bool = False  # the standing order at the proxies
-
-
-@dataclass(slots=True)
-class Proxy:
-    zone: int
-    held: bool  # orders of others: it may bring withdrawals, and is told of each node whether it is out
-    rates: list  # reqs a second by kind
-    sent: deque = field(default_factory=deque)  # when messages went to it
-    bound: bool = False  # to its tables
-    tables: list = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class Table:  # shared by proxies, as it was last ordered
-    place: int
-    kinds: tuple[int, ...]
-    zones: tuple[int, ...]  # empty: nodes of all zones
-    near: int  # the zone whose nodes are preferred; -1: none
-    size: float = inf  # so many nodes are dealt to it where the channel cannot carry all
-    dealt: set = field(default_factory=set)
-    lines: dict = field(default_factory=dict)
-    pending: dict = field(default_factory=dict)  # changes that found no room yet
-    proxies: dict = field(default_factory=dict)
-    mark: int = 0
-    waiting: set = field(default_factory=set)  # proxies that have not acknowledged the mark
-    changed_at: float = LONG_AGO
-    share: float = 1.0  # of the work offered that is let in
-    cut_at: float = LONG_AGO
-    again: bool = False  # another try after any failure pays
-    levels: dict = field(default_factory=dict)  # by kind: share let in, way of trying again
+def new_node() -> Node:
+    """A node of which nothing is known yet."""
+    return Node(room=ROOM, score=FLAT, hold=HOLD, loads=deque(maxlen=TREND_OVER))
 
 
 def clamp(points: float) -> float:
@@ -146,7 +95,7 @@
     pace: float = 0.0  # lines a second that answers show; when, what had left, what was unanswered
     paced: tuple = (LONG_AGO, 0.0, 0.0)
     heads: int = 0  # of this round
-    rounds: list = field(default_factory=list)  # mark, what has left by it, by each answer, by all of them
+    rounds: list[SentRound] = field(default_factory=list)  # not answered in full
 
     def claim(self, proxies: dict[int, Proxy], lines: int, part: float, least: int = 0, new: int = 0) -> int:
         """Book so many lines to each proxy, or as many from the least on as this part of the caps allows."""
@@ -189,14 +138,14 @@
 
     def end_round(self, mark: int) -> None:  # all that was sent in it bears the mark
         self.heard = self.heard if self.left < self.began else self.at
-        self.rounds.append([mark, self.began, (self.booked - self.began) / self.heads, self.booked])
+        self.rounds.append(SentRound(mark, self.began, (self.booked - self.began) / self.heads, self.booked))
 
     def answered(self, mark: int) -> None:  # what was sent before has left, of this round what is answered
-        at = (mark - self.rounds[0][0]) % our.MARKS if self.rounds else 0
+        at = (mark - self.rounds[0].mark) % our.MARKS if self.rounds else 0
         if at < len(self.rounds):
             del self.rounds[:at]
-            _, left, more, most = self.rounds[0]
-            self.rounds[0][1] = self.left = min(most, left + more)
+            first = self.rounds[0]
+            first.left = self.left = min(first.most, first.left + first.per_answer)
             self.heard = self.at
 
 
@@ -275,7 +224,7 @@
         told = {entry[0] for entry in entries} if whole else self.nodes
         gone = [(at, node.zone, 0.0, our.GONE, 0.0) for at, node in self.nodes.items() if at not in told]
         for place, zone, started, state, nominal in [*gone, *entries]:
-            node = self.nodes.setdefault(place, Node())
+            node = self.nodes.setdefault(place, new_node())
             if (state == our.READY) != (node.state == our.READY) or node.turned_at == LONG_AGO:
                 node.turned_at = self.now
             node.zone, node.state, node.nominal = zone, state, nominal if nominal > 0 else 1.0
@@ -405,7 +354,7 @@
 
     def take_met(self, place: int, zone: int, over: float, took: float, errored: int, tried: int,
                  load: our.Load) -> None:
-        node = self.nodes.setdefault(place, Node())
+        node = self.nodes.setdefault(place, new_node())
         self.heard_over += HEARD_STEP * (max(over, self.period) - self.heard_over)
         node.tried, node.errored, good = node.tried + tried, node.errored + errored, max(0, tried - errored)
         self.answers, node.answered = self.answers + good, node.answered + good
