--- a/oatcart/scale/__init__.py
+++ b/oatcart/scale/__init__.py
@@ -1,7 +1,8 @@
 """What each role of the fleet costs as each dimension of the fleet grows.
 
 ``python -m oatcart.scale run deploy/scale.yaml`` draws a fleet from one seed, starts the project's own roles
-at growing sizes, measures them, fits a slope to each cost and predicts the largest size from the smaller ones.
+at growing sizes, measures them, fits a slope to each cost and predicts the largest size from the
+smaller ones.
 
 The modules, in the order of their use:
 
--- a/oatcart/scale/measurement.py
+++ b/oatcart/scale/measurement.py
@@ -47,9 +47,9 @@
 class Measurement:
     """The costs of one role at one size; a quantity that was not measured is None.
 
-    ``dimension`` is one of :data:`DIMENSIONS` and ``size`` how large it was; ``role`` names the process measured
-    (``conductor``, ``hollow_conductor``, ``discovery``, ``control``). A size that does not fit on the machine is
-    kept too: ``left_out`` then says why, and all quantities are None.
+    ``dimension`` is one of :data:`DIMENSIONS` and ``size`` how large it was; ``role`` names the process
+    measured (``conductor``, ``hollow_conductor``, ``discovery``, ``control``). A size that does not fit on
+    the machine is kept too: ``left_out`` then says why, and all quantities are None.
     """
 
     dimension: str
