policy.py: one test of whether a node is unusable, one reckoning of the work offered

Change: the test of a withdrawn or unready node stood three times and is a function; the work offered to a table by a kind is a method; long comprehensions are two steps.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -55,6 +55,10 @@
     return Node(room=ROOM, score=FLAT, hold=HOLD, loads=deque(maxlen=TREND_OVER))
 
 
+def unusable(node: Node) -> bool:  # withdrawn, draining or gone
+    return node.out or node.state != our.READY
+
+
 def clamp(points: float) -> float:
     return min(100.0, max(0.0, points))
 
@@ -240,8 +244,8 @@
 
     def pool(self, zones: tuple[int, ...] = ()) -> dict[int, Node]:  # ready, of some zones or of all
         if zones not in self.pools:
-            self.pools[zones] = {place: node for place, node in self.nodes.items()
-                                 if node.state == our.READY and (not zones or node.zone in zones)}
+            ready = ((at, node) for at, node in self.nodes.items() if node.state == our.READY)
+            self.pools[zones] = {at: node for at, node in ready if not zones or node.zone in zones}
         return self.pools[zones]
 
     def take_joined(self, proxy: int, zone: int, usual: float, blank: bool) -> None:
@@ -410,8 +414,9 @@
         node.out, node.out_at, node.passes = True, self.now, 0
 
     def turn_nodes(self, out: bool) -> None:  # out of all tables that proxies hold, and back; none only met
-        due = {place: node for place, node in self.nodes.items() if not (out and self.parted)
-               and (node.out or node.state != our.READY) == out != node.shut and node.turned_at > LONG_AGO}
+        listed = {} if out and self.parted else {
+            at: node for at, node in self.nodes.items() if node.turned_at > LONG_AGO}
+        due = {at: node for at, node in listed.items() if unusable(node) == out != node.shut}
         for one in self.tables.values() if not out else ():  # none is let in on a line of its former life
             due = {at: node for at, node in due.items() if one.lines.get(at, 0) <= one.pending.get(at, inf)}
         part = self.drain_part(due.values(), URGENT_PART if out else RETURNS_PART)
@@ -425,8 +430,9 @@
         return 1.0 if self.now - told >= DRAIN_WAIT else usual
 
     def drop_gone(self, all_bound: bool) -> None:  # nodes long gone, in nobody's lines; each costs a message
-        over = [at for at, node in self.nodes.items() if LONG_AGO < node.turned_at < self.now - KEPT_GONE
-                and node.state == our.GONE and not any(at in one.lines for one in self.tables.values())]
+        gone = [at for at, node in self.nodes.items() if node.state == our.GONE and node.turned_at > LONG_AGO]
+        over = [at for at in gone if self.nodes[at].turned_at < self.now - KEPT_GONE
+                and not any(at in one.lines for one in self.tables.values())]
         due = any(self.nodes[at].turned_at < self.now - 2 * KEPT_GONE for at in over) and all_bound
         for at in over[:self.channel.claim(self.proxies, len(over), RETURNS_PART, 1) if due else 0]:
             self.orders.drop(at)
@@ -467,8 +473,8 @@
     def wanted(self, table: Table) -> dict[int, int]:
         """The table as it should stand: the rounded score of each listed node, eased in after a start."""
         pool, want = self.open_to(table), {}
-        near = {node.zone for node in pool.values() if node.zone == table.near and not node.out
-                and self.warmth(node) >= 1.0}  # none where all are cold
+        close = [node for node in pool.values() if node.zone == table.near and not node.out]
+        near = {node.zone for node in close if self.warmth(node) >= 1.0}  # none where all are cold
         for place, node in pool.items():
             lean = 1.0 if table.zones else self.lean.get(node.zone, 1.0)
             part = ramp(self.now - node.eased_at) * (lean if node.zone in self.bound else 1.0)
@@ -504,7 +510,7 @@
                 del want[place]
 
     def take_down(self, table: Table) -> None:  # of nodes that are out: half of what a withdrawal costs
-        due = [at for at in sorted(table.lines) if self.nodes[at].out or self.nodes[at].state != our.READY]
+        due = [at for at in sorted(table.lines) if unusable(self.nodes[at])]
         part = self.drain_part([self.nodes[at] for at in due], URGENT_PART)
         room = self.channel.claim(table.proxies, len(due), part, min(len(due), DRAINS_LEAST)) if due else 0
         for at in sorted(due, key=lambda at: max(self.nodes[at].turned_at, self.nodes[at].out_at))[:room]:
@@ -569,10 +575,13 @@
                 self.orders.admit(table.place, 1 << kind, self.quota(table, kind, level), tries)
 
     def weigh(self) -> None:  # what comes to each table, and to all of them by what strain lets in
-        self.works = {at: {kind: self.kinds[kind].response_target * sum(proxy.rates[kind] for proxy in
-                           one.proxies.values()) for kind in one.kinds} for at, one in self.tables.items()}
+        self.works = {at: {kind: self.offered(one, kind) for kind in one.kinds}
+                      for at, one in self.tables.items()}
         self.whole = sum(sum(self.works[at].values()) * table.share for at, table in self.tables.items())
 
+    def offered(self, table: Table, kind: int) -> float:  # s of work a second
+        return self.kinds[kind].response_target * sum(proxy.rates[kind] for proxy in table.proxies.values())
+
     def filled(self, table: Table) -> float:  # so many nodes what comes would fill, by what is let in
         part = sum(self.works.get(table.place, {}).values()) / self.whole if self.whole else 1.0
         return len(self.pool()) * part * (1 if table.size == inf else PARTS_OF_NODE)  # others fill them too
