--- /dev/null
+++ b/oatcart/scale/slopes.py
@@ -0,0 +1,275 @@
+"""How a cost grows with a size: forms fitted by least squares, one chosen, and proved on a size left out.
+
+A form is a constant plus one growing term. The choice is by the leave-one-out residual (PRESS, the root mean
+square of each point's distance from the fit to the others), with a preference for the simpler form: one that
+is less simple must be better by a stated factor. The proof fits all sizes but the largest and predicts that.
+"""
+
+import math
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple
+
+import numpy
+from numpy.typing import NDArray
+from scipy import linalg
+
+from oatcart.scale.measurement import QUANTITIES, Measurement, Quantity
+
+FEWEST_SIZES_TO_FIT = 4
+"""Different sizes that a fit needs."""
+
+FEWEST_SIZES_TO_PROVE = FEWEST_SIZES_TO_FIT + 1
+"""Different sizes that a proof needs: those of the fit and the largest, left out."""
+
+PROVED_WITHIN = 0.2
+"""The share of the measured cost that a prediction may be off and count as proved."""
+
+EXACT = 1e-9
+"""A residual below this share of the largest cost is rounding, not misfit."""
+
+Floats = NDArray[numpy.float64]
+
+
+class TooFewSizesError(ValueError):
+    """Fewer different sizes were measured than a fit or a proof needs."""
+
+
+class Point(NamedTuple):
+    """A cost at a size; `other` is the size of a second dimension, where two were grown."""
+
+    size: float
+    cost: float
+    other: float = 1.0
+
+
+class Form(Enum):
+    """The growing term of a cost, beside its constant; the value is how it is written."""
+
+    CONSTANT = "a"
+    LINEAR = "a + b n"
+    N_LOG_N = "a + b n log n"
+    PRODUCT = "a + b n m"
+    QUADRATIC = "a + b n^2"
+
+
+class _Term(NamedTuple):
+    """How a form's growing term is computed and by what factor the form must be better than a simpler one."""
+
+    growing: Callable[[Floats, Floats], Floats] | None
+    must_be_better_by: float
+
+
+_TERMS = {
+    Form.CONSTANT: _Term(None, 1.0),
+    Form.LINEAR: _Term(lambda size, other: size, 1.1),
+    Form.N_LOG_N: _Term(lambda size, other: size * numpy.log(size), 1.2),
+    Form.PRODUCT: _Term(lambda size, other: size * other, 1.2),
+    Form.QUADRATIC: _Term(lambda size, other: size**2, 2.0),
+}
+_FORMS_OF_ONE = (Form.CONSTANT, Form.LINEAR, Form.N_LOG_N, Form.QUADRATIC)
+_FORMS_OF_TWO = (Form.CONSTANT, Form.LINEAR, Form.N_LOG_N, Form.PRODUCT)
+
+
+class Coefficient(NamedTuple):
+    """A fitted coefficient and its standard error, in units of the cost (and of the growing term)."""
+
+    value: float
+    standard_error: float
+
+
+@dataclass(frozen=True)
+class Slope:
+    """A fitted form; residuals are root mean squares in units of the cost."""
+
+    form: Form
+    constant: Coefficient
+    growth: Coefficient | None
+    residual: float
+    leave_out_residual: float
+    sizes: tuple[float, ...]
+
+    def predict(self, size: float, other: float = 1.0) -> float:
+        """The cost at a size, measured or not."""
+        growing = _TERMS[self.form].growing
+        if self.growth is None or growing is None:
+            return self.constant.value
+        term = growing(numpy.array([float(size)]), numpy.array([float(other)]))[0]
+        return float(self.constant.value + self.growth.value * term)
+
+
+@dataclass(frozen=True)
+class Proof:
+    """A slope fitted to all but the largest size and what it predicts there; `off` is a share of `measured`."""
+
+    slope: Slope
+    size: float
+    measured: float
+    predicted: float
+    off: float
+
+    @property
+    def is_proved(self) -> bool:
+        """Whether the prediction is off by a fifth at most."""
+        return self.off <= PROVED_WITHIN
+
+
+@dataclass(frozen=True)
+class QuantitySlope:
+    """How one quantity of one role grows with one dimension.
+
+    `slope` is fitted to all sizes; `proof` to all but the largest. `missing` says why either is None.
+    """
+
+    dimension: str
+    role: str
+    quantity: Quantity
+    points: tuple[Point, ...]
+    slope: Slope | None
+    proof: Proof | None
+    missing: str | None
+
+    @property
+    def is_proved(self) -> bool:
+        """Whether there is a proof and it holds."""
+        return self.proof is not None and self.proof.is_proved
+
+
+def fit(points: Iterable[Point]) -> Slope:
+    """The form that fits best; raises TooFewSizesError, or ValueError for a point that is no number."""
+    points = _checked(points)
+    _need_sizes(points, FEWEST_SIZES_TO_FIT, "a fit")
+    grown_two = len({point.other for point in points}) > 1
+    slopes = [_fit_form(form, points) for form in (_FORMS_OF_TWO if grown_two else _FORMS_OF_ONE)]
+    return _choose(slopes, max(abs(point.cost) for point in points))
+
+
+def prove(points: Iterable[Point]) -> Proof:
+    """Fits all sizes but the largest and predicts it; several points of the largest count by their median.
+
+    Raises TooFewSizesError.
+    """
+    points = _checked(points)
+    _need_sizes(points, FEWEST_SIZES_TO_PROVE, "a proof")
+    largest = max(point.size for point in points)
+    left_out = [point for point in points if point.size == largest]
+    slope = fit(point for point in points if point.size < largest)
+    measured = float(numpy.median([point.cost for point in left_out]))
+    predicted = float(numpy.median([slope.predict(point.size, point.other) for point in left_out]))
+    return Proof(slope, largest, measured, predicted, off_share(measured, predicted))
+
+
+def off_share(measured: float, predicted: float) -> float:
+    """How far a prediction is off, as a share of the measured cost; 1 where only the measured cost is 0.
+
+    >>> off_share(10.0, 12.0), off_share(0.0, 0.0), off_share(0.0, 3.0)
+    (0.2, 0.0, 1.0)
+    """
+    if measured == predicted:
+        return 0.0
+    return abs(predicted - measured) / (abs(measured) or abs(predicted))
+
+
+def points_of(measurements: Iterable[Measurement], dimension: str, role: str, quantity: str) -> list[Point]:
+    """The measured costs of one quantity, by size; sizes left out and quantities not measured are skipped."""
+    found = [
+        Point(measurement.size, getattr(measurement, quantity))
+        for measurement in measurements
+        if measurement.dimension == dimension
+        and measurement.role == role
+        and measurement.left_out is None
+        and getattr(measurement, quantity) is not None
+    ]
+    return sorted(found)
+
+
+def analyse(measurements: Sequence[Measurement]) -> list[QuantitySlope]:
+    """The slope of each quantity that was measured at all, by dimension and role."""
+    pairs = dict.fromkeys((measurement.dimension, measurement.role) for measurement in measurements)
+    slopes = []
+    for dimension, role in pairs:
+        for quantity in QUANTITIES:
+            points = points_of(measurements, dimension, role, quantity.field)
+            if points:
+                slopes.append(_quantity_slope(dimension, role, quantity, points))
+    return slopes
+
+
+def _quantity_slope(dimension: str, role: str, quantity: Quantity, points: list[Point]) -> QuantitySlope:
+    slope, proof, missing = None, None, None
+    try:
+        slope = fit(points)
+        proof = prove(points)
+    except TooFewSizesError as error:
+        missing = str(error)
+    return QuantitySlope(dimension, role, quantity, tuple(points), slope, proof, missing)
+
+
+def _checked(points: Iterable[Point]) -> list[Point]:
+    listed = list(points)
+    for point in listed:
+        if not all(math.isfinite(value) for value in point) or point.size <= 0 or point.other <= 0:
+            raise ValueError(f"{point} is no cost at a size above 0")
+    return listed
+
+
+def _need_sizes(points: list[Point], fewest: int, what: str) -> None:
+    count = len({point.size for point in points})
+    if count < fewest:
+        raise TooFewSizesError(f"{count} sizes measured; {what} needs {fewest}")
+
+
+def _fit_form(form: Form, points: list[Point]) -> Slope:
+    """Least squares for one form. The growing term is scaled to 1 at its largest, for a stable solution."""
+    costs = numpy.array([point.cost for point in points])
+    columns = [numpy.ones(len(points))]
+    scale = 1.0
+    growing = _TERMS[form].growing
+    if growing is not None:
+        sizes = numpy.array([float(point.size) for point in points])
+        others = numpy.array([float(point.other) for point in points])
+        term = growing(sizes, others)
+        scale = float(numpy.max(numpy.abs(term))) or 1.0
+        columns.append(term / scale)
+    matrix = numpy.column_stack(columns)
+    inverse = linalg.pinv(matrix)
+    values = inverse @ costs
+    residuals = costs - matrix @ values
+    freedom = len(points) - matrix.shape[1]
+    variance = float(residuals @ residuals) / freedom
+    errors = numpy.sqrt(variance * numpy.einsum("ij,ij->i", inverse, inverse))
+    coefficients = [
+        Coefficient(float(value / by), float(error / by))
+        for value, error, by in zip(values, errors, (1.0, scale), strict=False)
+    ]
+    return Slope(
+        form=form,
+        constant=coefficients[0],
+        growth=coefficients[1] if len(coefficients) > 1 else None,
+        residual=_root_mean_square(residuals),
+        leave_out_residual=_leave_out_residual(residuals, numpy.einsum("ij,ji->i", matrix, inverse)),
+        sizes=tuple(sorted({point.size for point in points})),
+    )
+
+
+def _leave_out_residual(residuals: Floats, leverages: Floats) -> float:
+    """Each point's distance from the fit to the others is its residual over one less its leverage."""
+    return _root_mean_square(residuals / numpy.maximum(1.0 - leverages, EXACT))
+
+
+def _root_mean_square(values: Floats) -> float:
+    return float(numpy.sqrt(numpy.mean(values**2)))
+
+
+def _choose(slopes: list[Slope], largest_cost: float) -> Slope:
+    """The simplest form that none of the others is better than by its factor."""
+    rounding = EXACT * largest_cost
+    chosen = slopes[0]
+    for slope in slopes[1:]:
+        factor = _TERMS[slope.form].must_be_better_by
+        if chosen.leave_out_residual > rounding and (
+            slope.leave_out_residual * factor < chosen.leave_out_residual
+        ):
+            chosen = slope
+    return chosen
--- /dev/null
+++ b/oatcart/scale/troubles.py
@@ -0,0 +1,265 @@
+"""One day of a fleet from one seed: failures, restarts, racks and zones lost, partitions, and changes.
+
+Events bear the time in seconds from the start of a run: the simulated day divided by `time_compression`. They
+are consistent: a node has at most one outage at a time, a node that is restarted is first DRAINING and then
+DELETED, and whatever was away returns cold at its `NodeReturned`.
+"""
+
+from bisect import bisect_right, insort
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple
+
+import numpy
+
+from oatcart.scale.configuration import DAY_S, DaySettings
+from oatcart.scale.fleet import FleetPlan
+
+MOST_DRAWS = 1_000
+"""Draws of a time, or of a node, until an outage that overlaps no other is given up."""
+
+
+class TroublesError(ValueError):
+    """A day that this fleet has no room for, such as more restarts than its nodes can go through."""
+
+
+class Cause(Enum):
+    """Why a node went away."""
+
+    FAILURE = "failure"
+    RESTART = "restart"
+    RACK_LOSS = "rack loss"
+    ZONE_LOSS = "zone loss"
+
+
+class NodeLost(NamedTuple):
+    """A node is gone without a word: by itself, or with its rack or zone."""
+
+    at_s: float
+    node: str
+    cause: Cause
+
+
+class NodeDraining(NamedTuple):
+    """A node is about to be restarted and takes no new requests."""
+
+    at_s: float
+    node: str
+
+
+class NodeDeleted(NamedTuple):
+    """A drained node leaves the list of nodes."""
+
+    at_s: float
+    node: str
+
+
+class NodeReturned(NamedTuple):
+    """A node is back, cold: its time of start is `at_s`."""
+
+    at_s: float
+    node: str
+    cause: Cause
+
+
+class RegionsCut(NamedTuple):
+    """Nothing passes between two regions any more."""
+
+    at_s: float
+    first: str
+    second: str
+
+
+class RegionsRejoined(NamedTuple):
+    """Two regions reach each other again."""
+
+    at_s: float
+    first: str
+    second: str
+
+
+class ConfigurationChanged(NamedTuple):
+    """Change `number` of the day, to one route of a service; `burst` is the number of its burst, if any."""
+
+    at_s: float
+    number: int
+    service: str
+    route: int
+    burst: int | None
+
+
+Event = (
+    NodeLost | NodeDraining | NodeDeleted | NodeReturned | RegionsCut | RegionsRejoined | ConfigurationChanged
+)
+
+
+@dataclass(frozen=True)
+class DayPlan:
+    """The events of a day in the order of their times; `length_s` is how long the run takes."""
+
+    settings: DaySettings
+    seed: int
+    events: tuple[Event, ...]
+
+    @property
+    def length_s(self) -> float:
+        """Seconds that the compressed day takes."""
+        return DAY_S / self.settings.time_compression
+
+
+def plan_day(fleet: FleetPlan, settings: DaySettings, seed: int) -> DayPlan:
+    """Draws the day of a fleet; raises TroublesError where the fleet has no room for it."""
+    streams = numpy.random.SeedSequence(seed).spawn(3)
+    outages, partitions, changes = (numpy.random.default_rng(stream) for stream in streams)
+    events = [
+        *_Outages(fleet, settings, outages).draw(),
+        *_draw_partitions(fleet, settings, partitions),
+        *_draw_changes(fleet, settings, changes),
+    ]
+    compressed = [event._replace(at_s=event.at_s / settings.time_compression) for event in events]
+    return DayPlan(settings, seed, tuple(sorted(compressed, key=lambda event: event.at_s)))
+
+
+class _Interval(NamedTuple):
+    """A time that a node is draining or away, in seconds of the simulated day."""
+
+    start: float
+    end: float
+
+
+class _Outages:
+    """Draws outages, the largest first; each avoids those drawn before it on the same nodes."""
+
+    def __init__(self, fleet: FleetPlan, settings: DaySettings, generator: numpy.random.Generator) -> None:
+        self.fleet = fleet
+        self.settings = settings
+        self.generator = generator
+        self.node_ids = [node.id for node in fleet.nodes]
+        self.busy: dict[str, list[_Interval]] = {node: [] for node in self.node_ids}
+        self.events: list[Event] = []
+
+    def draw(self) -> list[Event]:
+        """All events of nodes."""
+        settings = self.settings
+        self._lose_groups(self.fleet.nodes_by_zone(), settings.zone_losses, Cause.ZONE_LOSS)
+        self._lose_groups(self.fleet.nodes_by_rack(), settings.rack_losses, Cause.RACK_LOSS)
+        self._each_of_some_nodes(settings.failures, settings.failed_for, self._fail, "failures")
+        away_for = settings.drain_for + settings.restart_for
+        self._each_of_some_nodes(settings.restarts, away_for, self._restart, "restarts")
+        return self.events
+
+    def _lose_groups(self, groups: dict[str, list], count: int, cause: Cause) -> None:
+        if count > len(groups):
+            raise TroublesError(f"{count} times {cause.value}, of only {len(groups)}")
+        names = list(groups)
+        for chosen in self.generator.permutation(len(names))[:count].tolist():
+            nodes = [node.id for node in groups[names[chosen]]]
+            outage = self._free_time(nodes, self.settings.lost_for)
+            if outage is None:
+                raise TroublesError(f"{cause.value} of {names[chosen]} finds no time without another outage")
+            for node in nodes:
+                self._lose(node, outage, cause)
+
+    def _each_of_some_nodes(
+        self, count: int, away_for: float, take_out: Callable[[str, _Interval], None], title: str
+    ) -> None:
+        """An outage for each of `count` nodes: different ones, as long as there are."""
+        for position in self._drawn_nodes(count):
+            outage, node = None, self.node_ids[position]
+            for _ in range(MOST_DRAWS):
+                outage = self._free_time([node], away_for)
+                if outage is not None:
+                    break
+                node = self.node_ids[int(self.generator.integers(len(self.node_ids)))]
+            if outage is None:
+                raise TroublesError(f"{count} {title} find no room on {len(self.node_ids)} nodes")
+            take_out(node, outage)
+
+    def _drawn_nodes(self, count: int) -> list[int]:
+        rounds = -(-count // len(self.node_ids))
+        drawn = [self.generator.permutation(len(self.node_ids)) for _ in range(rounds)]
+        return numpy.concatenate(drawn).tolist()[:count] if drawn else []
+
+    def _free_time(self, nodes: Sequence[str], length: float) -> _Interval | None:
+        """A time in which none of the nodes is away, or None."""
+        latest = DAY_S - length
+        for start in self.generator.uniform(0.0, latest, MOST_DRAWS).tolist():
+            interval = _Interval(start, start + length)
+            if all(self._is_free(node, interval) for node in nodes):
+                return interval
+        return None
+
+    def _is_free(self, node: str, interval: _Interval) -> bool:
+        busy = self.busy[node]
+        after = bisect_right(busy, interval)
+        ends_before = after == 0 or busy[after - 1].end < interval.start
+        starts_after = after == len(busy) or interval.end < busy[after].start
+        return ends_before and starts_after
+
+    def _fail(self, node: str, outage: _Interval) -> None:
+        self._lose(node, outage, Cause.FAILURE)
+
+    def _lose(self, node: str, outage: _Interval, cause: Cause) -> None:
+        insort(self.busy[node], outage)
+        self.events += [NodeLost(outage.start, node, cause), NodeReturned(outage.end, node, cause)]
+
+    def _restart(self, node: str, outage: _Interval) -> None:
+        insort(self.busy[node], outage)
+        self.events += [
+            NodeDraining(outage.start, node),
+            NodeDeleted(outage.start + self.settings.drain_for, node),
+            NodeReturned(outage.end, node, Cause.RESTART),
+        ]
+
+
+def _draw_partitions(
+    fleet: FleetPlan, settings: DaySettings, generator: numpy.random.Generator
+) -> list[Event]:
+    """Pairs of regions cut from each other, each pair once."""
+    regions = fleet.regions
+    pairs = [(first, second) for place, first in enumerate(regions) for second in regions[place + 1 :]]
+    if settings.partitions > len(pairs):
+        raise TroublesError(f"{settings.partitions} partitions, of only {len(pairs)} pairs of regions")
+    events: list[Event] = []
+    for chosen in generator.permutation(len(pairs))[: settings.partitions].tolist():
+        start = float(generator.uniform(0.0, DAY_S - settings.partition_for))
+        events.append(RegionsCut(start, *pairs[chosen]))
+        events.append(RegionsRejoined(start + settings.partition_for, *pairs[chosen]))
+    return events
+
+
+def _draw_changes(
+    fleet: FleetPlan, settings: DaySettings, generator: numpy.random.Generator
+) -> list[ConfigurationChanged]:
+    """Changes at any time of the day and, in bursts, to routes of one service; numbered in order of time.
+
+    Route number r leads to service r modulo the number of services.
+    """
+    in_bursts = round(settings.changes * settings.burst_share)
+    alone = settings.changes - in_bursts
+    times = generator.uniform(0.0, DAY_S, alone).tolist()
+    routes = generator.integers(fleet.settings.routes, size=alone).tolist()
+    drawn = [(time, route, None) for time, route in zip(times, routes, strict=True)]
+    for burst, first in enumerate(range(0, in_bursts, settings.burst_size)):
+        size = min(settings.burst_size, in_bursts - first)
+        drawn += _draw_burst(fleet, settings, burst, size, generator)
+    drawn.sort(key=lambda change: change[0])
+    services = fleet.services
+    return [
+        ConfigurationChanged(at, number, services[route % len(services)], route, burst)
+        for number, (at, route, burst) in enumerate(drawn)
+    ]
+
+
+def _draw_burst(
+    fleet: FleetPlan, settings: DaySettings, burst: int, size: int, generator: numpy.random.Generator
+) -> list[tuple[float, int, int]]:
+    """The time, the route and the burst of each change of one burst."""
+    route_count, service_count = fleet.settings.routes, len(fleet.services)
+    first_route = int(generator.integers(min(route_count, service_count)))
+    routes_of_service = numpy.arange(first_route, route_count, service_count)
+    start = generator.uniform(0.0, DAY_S - settings.burst_for)
+    times = start + generator.uniform(0.0, settings.burst_for, size)
+    routes = generator.choice(routes_of_service, size)
+    return [(time, route, burst) for time, route in zip(times.tolist(), routes.tolist(), strict=True)]
