--- a/oatcart/scale/slopes.py
+++ b/oatcart/scale/slopes.py
@@ -101,7 +101,7 @@
 
 @dataclass(frozen=True)
 class Proof:
-    """A slope fitted to all but the largest size and what it predicts there; `off` is a share of `measured`."""
+    """A slope fitted to all but the largest size, and its prediction there; `off` is a share of the cost."""
 
     slope: Slope
     size: float
