--- a/oatcart/scale/configuration.py
+++ b/oatcart/scale/configuration.py
@@ -103,6 +103,15 @@
     burst_for: float = 10.0
     time_compression: float = 60.0
 
+    def scaled(self, ratio: float) -> "DaySettings":
+        """The day of a fleet `ratio` times as large; racks, zones, regions and times stay as they are."""
+        return replace(
+            self,
+            failures=round(self.failures * ratio),
+            restarts=round(self.restarts * ratio),
+            changes=round(self.changes * ratio),
+        )
+
 
 @dataclass(frozen=True)
 class Budgets:
@@ -311,7 +320,7 @@
         settings = Settings(**found)
         self._check_combinations(settings)
         if self.errors:
-            raise Wrong("\n".join(self.errors))
+            raise Wrong("\n".join(sorted(self.errors, key=_line_of)))
         return settings
 
     def _section(self, name: str, section: _Section, told: object) -> object:
@@ -358,7 +367,7 @@
 
     def _check_combinations(self, settings: Settings) -> None:
         fleet, day = settings.fleet, settings.day
-        racks_most = math.ceil(fleet.nodes / fleet.nodes_per_rack)
+        racks_least = math.ceil(fleet.nodes / fleet.nodes_per_rack)
         self._refuse(
             fleet.regions > fleet.zones,
             ("fleet.regions", "fleet.zones"),
@@ -386,9 +395,9 @@
             f"{day.failures} failures are more than the {fleet.nodes} nodes",
         )
         self._refuse(
-            day.rack_losses > racks_most,
+            day.rack_losses > racks_least,
             ("day.rack_losses", "fleet.nodes_per_rack", "fleet.nodes"),
-            f"{day.rack_losses} racks lost are more than the {racks_most} that the nodes fill",
+            f"{day.rack_losses} racks lost are more than the {racks_least} that the nodes fill",
         )
         self._refuse(
             day.zone_losses > fleet.zones,
@@ -422,5 +431,11 @@
         return told.lc.key(key)[0] if isinstance(told, CommentedMap) and key in told else None
 
 
+def _line_of(error: str) -> int:
+    """The line that an error names; 0 where it names none."""
+    found = re.search(r":(\d+): ", error)
+    return int(found[1]) if found else 0
+
+
 def _scaled(count: int, ratio: float, most: int) -> int:
     return max(1, min(most, round(count * ratio)))
--- a/oatcart/scale/troubles.py
+++ b/oatcart/scale/troubles.py
@@ -16,8 +16,11 @@
 from oatcart.scale.configuration import DAY_S, DaySettings
 from oatcart.scale.fleet import FleetPlan
 
-MOST_DRAWS = 1_000
-"""Draws of a time, or of a node, until an outage that overlaps no other is given up."""
+MOST_TIMES = 50
+"""Times drawn for an outage that overlaps no other, before another node is tried or it is given up."""
+
+MOST_NODES = 200
+"""Nodes tried for one outage, before it is given up."""
 
 
 class TroublesError(ValueError):
@@ -167,7 +170,7 @@
         """An outage for each of `count` nodes: different ones, as long as there are."""
         for position in self._drawn_nodes(count):
             outage, node = None, self.node_ids[position]
-            for _ in range(MOST_DRAWS):
+            for _ in range(MOST_NODES):
                 outage = self._free_time([node], away_for)
                 if outage is not None:
                     break
@@ -184,7 +187,8 @@
     def _free_time(self, nodes: Sequence[str], length: float) -> _Interval | None:
         """A time in which none of the nodes is away, or None."""
         latest = DAY_S - length
-        for start in self.generator.uniform(0.0, latest, MOST_DRAWS).tolist():
+        for _ in range(MOST_TIMES):
+            start = float(self.generator.uniform(0.0, latest))
             interval = _Interval(start, start + length)
             if all(self._is_free(node, interval) for node in nodes):
                 return interval
--- /dev/null
+++ b/tests/scale/test_scale_fleet.py
@@ -0,0 +1,139 @@
+"""The drawn fleet: its counts, its shape, and that one seed gives one fleet."""
+
+from collections import Counter
+from statistics import median
+
+import numpy
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oatcart.scale.configuration import FleetSettings
+from oatcart.scale.fleet import NODE_SIZES, FleetPlan, apportion, plan_fleet, service_sizes
+
+SEED = 7
+
+
+@pytest.fixture(scope="module")
+def planned() -> FleetPlan:
+    """The operators' fleet."""
+    return plan_fleet(FleetSettings(), SEED)
+
+
+def test_the_operators_counts_are_met_exactly(planned):
+    assert len(planned.nodes) == 27_000
+    assert len(planned.conductors) == 5_800
+    assert len(planned.nodes_by_service()) == 720
+    assert len(planned.nodes_by_zone()) == 53
+    assert len(planned.regions) == 14
+
+
+def test_ids_and_addresses_are_unique(planned):
+    assert len({node.id for node in planned.nodes}) == len(planned.nodes)
+    assert len({node.address for node in planned.nodes}) == len(planned.nodes)
+    assert len({conductor.name for conductor in planned.conductors}) == len(planned.conductors)
+
+
+def test_a_few_services_hold_thousands_and_most_a_handful(planned):
+    sizes = sorted(len(nodes) for nodes in planned.nodes_by_service().values())
+    assert sizes[-1] > 4_000
+    assert sum(size >= 1_000 for size in sizes) < 10
+    assert median(sizes) < 15
+
+
+def test_every_service_has_two_nodes_in_two_zones(planned):
+    for service, nodes in planned.nodes_by_service().items():
+        assert len(nodes) >= 2, service
+        assert len({node.zone for node in nodes}) >= 2, service
+
+
+def test_a_zone_lies_in_one_region_and_a_rack_in_one_zone(planned):
+    assert len({(node.zone, node.region) for node in planned.nodes}) == 53
+    assert len({(node.rack, node.zone) for node in planned.nodes}) == len(planned.nodes_by_rack())
+    zones_of_region = Counter(planned.zone_regions.values())
+    assert set(zones_of_region.values()) == {3, 4}
+
+
+def test_no_rack_holds_more_than_it_has_room_for(planned):
+    assert max(len(nodes) for nodes in planned.nodes_by_rack().values()) == 24
+
+
+def test_node_sizes_are_the_known_ones_and_mostly_small(planned):
+    counts = Counter(node.size for node in planned.nodes)
+    assert set(counts) == set(NODE_SIZES)
+    assert counts[1] > counts[2] > counts[4]
+
+
+def test_conductors_stand_where_nodes_are(planned):
+    conductors = Counter(conductor.zone for conductor in planned.conductors)
+    for zone, nodes in planned.nodes_by_zone().items():
+        assert abs(conductors[zone] - 5_800 * len(nodes) / 27_000) <= 1
+
+
+def test_a_conductor_calls_its_number_of_services_and_every_service_is_called(planned):
+    assert {len(set(conductor.services)) for conductor in planned.conductors} == {6}
+    called = {service for conductor in planned.conductors for service in conductor.services}
+    assert called == set(planned.services)
+
+
+def test_large_services_are_called_by_more_conductors(planned):
+    callers = Counter(service for conductor in planned.conductors for service in conductor.services)
+    largest = [callers[service] for service in planned.services[:10]]
+    smallest = [callers[service] for service in planned.services[-10:]]
+    assert min(largest) > max(smallest)
+
+
+def test_one_seed_gives_one_fleet_and_another_seed_another(planned):
+    assert plan_fleet(FleetSettings(), SEED) == planned
+    assert plan_fleet(FleetSettings(), SEED + 1).nodes != planned.nodes
+
+
+def test_more_conductors_leave_the_nodes_as_they_are():
+    few = plan_fleet(FleetSettings(nodes=500, services=20, conductors=5), SEED)
+    many = plan_fleet(FleetSettings(nodes=500, services=20, conductors=50), SEED)
+    assert few.nodes == many.nodes
+
+
+def test_a_scaled_fleet_keeps_the_shape(planned):
+    small = plan_fleet(FleetSettings().scaled_to(2_700), SEED)
+    share = len(small.nodes_by_service()[small.services[0]]) / len(small.nodes)
+    share_planned = len(planned.nodes_by_service()[planned.services[0]]) / len(planned.nodes)
+    assert len(small.services) == 72
+    assert len(small.conductors) == 580
+    assert share_planned < share < 2 * share_planned  # fewer ranks share the same skew
+
+
+def test_a_fleet_cannot_shrink_below_one_service():
+    with pytest.raises(ValueError, match="1 nodes are fewer than the 2 of one service"):
+        FleetSettings().scaled_to(1)
+
+
+@given(nodes=st.integers(2, 300), seed=st.integers(0, 100))
+@settings(max_examples=30, deadline=None)
+def test_any_scaled_fleet_is_whole(nodes, seed):
+    fleet = plan_fleet(FleetSettings().scaled_to(nodes), seed)
+    assert len(fleet.nodes) == nodes
+    assert set(fleet.nodes_by_zone()) == set(fleet.zone_regions)
+    assert set(fleet.nodes_by_service()) == set(fleet.services)
+    zones_possible = min(2, fleet.settings.zones)
+    for service, members in fleet.nodes_by_service().items():
+        assert len({node.zone for node in members}) >= zones_possible, service
+
+
+@given(total=st.integers(0, 10_000), weights=st.lists(st.floats(0.01, 100.0), min_size=1, max_size=40))
+def test_apportioned_counts_sum_up_and_are_within_one_of_exact(total, weights):
+    counts = apportion(total, numpy.array(weights))
+    exact = total * numpy.array(weights) / sum(weights)
+    assert counts.sum() == total
+    assert numpy.all(numpy.abs(counts - exact) <= 1.0 + 1e-6)
+
+
+def test_service_sizes_fall_with_the_rank():
+    sizes = service_sizes(FleetSettings())
+    assert sizes.sum() == 27_000
+    assert numpy.all(numpy.diff(sizes) <= 0)
+
+
+def test_without_skew_services_are_alike():
+    sizes = service_sizes(FleetSettings(nodes=100, services=10, service_skew=0.0))
+    assert sizes.tolist() == [10] * 10
