--- a/oatcart/xds/pushes.py
+++ b/oatcart/xds/pushes.py
@@ -1,8 +1,9 @@
 """When a client is sent what: one `Line` a type and stream. Free of I/O and clock.
 
-Source: the xDS protocol as Envoy publishes it, state of the world and incremental, and its section on the order of
-makes and breaks. One push is in flight; changes merge while it is; whatever takes a node out overtakes it and is
-never merged away (`shelf.Item.after`). What a client refused is not sent to it again until it says something else.
+Source: the xDS protocol as Envoy publishes it, state of the world and incremental, and its section on the
+order of makes and breaks. One push is in flight; changes merge while it is; whatever takes a node out
+overtakes it and is never merged away (`shelf.Item.after`). What a client refused is not sent to it again
+until it says something else.
 """
 
 from collections import deque
@@ -12,14 +13,17 @@
 
 from oatcart.xds.shelf import Content, Shelf, digest
 
-FLIGHTS_MOST = 8  # pushes whose answer is awaited; an older one's answer counts as stale, and urgent ones still go
+# pushes whose answer is awaited; an older one's answer counts as stale, and urgent ones still go
+FLIGHTS_MOST = 8
 WILD = "*"  # subscribes to all resources of a type
 COLLECTION_END = "/*"  # ends a name that stands for all resources under it
 NEVER, ABSENT = -1, -2  # in place of a seq: not sent; told that there is none
 
 
 class Push(NamedTuple):
-    """Something to be sent. `items`: (name, content); `removed`: names, told in the incremental protocol alone."""
+    """Something to be sent. `items`: (name, content); `removed`: names, told in the incremental protocol
+    alone.
+    """
 
     nonce: str
     version: str
@@ -55,8 +59,9 @@
 
 @dataclass(slots=True)
 class Line:
-    """One type on one stream. `whole`: each push holds all that is wanted, as the state-of-the-world protocol has it
-    for listeners and clusters. `life`: begins every nonce, so that an answer to another stream's push is stale."""
+    """One type on one stream. `whole`: each push holds all that is wanted, as the state-of-the-world protocol
+    has it for listeners and clusters. `life`: begins every nonce, so that an answer to another stream's push
+    is stale."""
 
     delta: bool
     whole: bool
@@ -83,8 +88,8 @@
     # -- what the client says
 
     def ask(self, names: Iterable[str], nonce: str, refusal: str | None) -> Refusal | None | bool:
-        """A state-of-the-world request: all names, the nonce that it answers, its words if it refuses. False where
-        it is stale and says nothing; else what was refused, if so."""
+        """A state-of-the-world request: all names, the nonce that it answers, its words if it refuses. False
+        where it is stale and says nothing; else what was refused, if so."""
         if self.asked and nonce != self.nonce:
             said = self._answer(nonce, refusal) if nonce else False
             return said  # names stand in the answer to the last push, which is still to come
@@ -100,10 +105,16 @@
             self.wanted, self.wild, self.reset = names, wild, True
         return said or None
 
-    def change(self, subscribe: Iterable[str], unsubscribe: Iterable[str], brought: dict[str, str],
-               nonce: str, refusal: str | None) -> Refusal | None | bool:
-        """An incremental request: changed subscriptions, versions held since an earlier stream, and an answer to a
-        push if there is a nonce. False where the nonce is stale, which leaves the rest as it is."""
+    def change(
+        self,
+        subscribe: Iterable[str],
+        unsubscribe: Iterable[str],
+        brought: dict[str, str],
+        nonce: str,
+        refusal: str | None,
+    ) -> Refusal | None | bool:
+        """An incremental request: changed subscriptions, versions held since an earlier stream, and an answer
+        to a push if there is a nonce. False where the nonce is stale, which leaves the rest as it is."""
         subscribe, first = list(subscribe), not self.asked
         self.asked = True
         if first:
@@ -171,8 +182,12 @@
     def behind(self, shelf: Shelf) -> dict[str, int]:
         """The seqs, by name, that a client has yet to acknowledge to hold what stands now."""
         self._look(shelf)
-        due = {name: seq for flight in self.flights for name, seq in flight.took.items()
-               if seq > self.held.get(name, NEVER)}
+        due = {
+            name: seq
+            for flight in self.flights
+            for name, seq in flight.took.items()
+            if seq > self.held.get(name, NEVER)
+        }
         return due | {name: shelf.items[name].now.seq for name in self.stale if name in shelf.items}
 
     def awaits(self, name: str) -> bool:
@@ -185,7 +200,9 @@
 
     def _is_urgent(self, shelf: Shelf, name: str) -> bool:
         item = shelf.items.get(name)
-        return item.urgent > self.sent.get(name, NEVER) > NEVER if item else self.sent.get(name, NEVER) > NEVER
+        return (
+            item.urgent > self.sent.get(name, NEVER) > NEVER if item else self.sent.get(name, NEVER) > NEVER
+        )
 
     def _look(self, shelf: Shelf) -> None:
         """Bring `stale` up to date: names of which the client was sent less than there is."""
@@ -194,7 +211,12 @@
         changed = None if self.reset else shelf.changed(self.seen)
         if changed is None:
             self.stale = {}
-            changed = [*(name for name in shelf.items if self._wants(name)), *self.sent, *self.wanted, *self.brought]
+            changed = [
+                *(name for name in shelf.items if self._wants(name)),
+                *self.sent,
+                *self.wanted,
+                *self.brought,
+            ]
         self.reset, self.seen = False, shelf.seq
         for name in dict.fromkeys(changed):
             if name.endswith(COLLECTION_END):
@@ -221,10 +243,14 @@
         content = self._next(name, shelf)
         return sent != content.seq and self.refused.get(name) != content.version
 
-    def due(self, shelf: Shelf, may_add: Callable[[str], bool] = lambda name: True,
-            may_remove: Callable[[str], bool] = lambda name: True) -> Push | None:
-        """What to send now, if anything; it counts as sent. `may_add` and `may_remove` tell of other types' lines
-        whether a name's turn has come: makes go from clusters on, breaks go back to them."""
+    def due(
+        self,
+        shelf: Shelf,
+        may_add: Callable[[str], bool] = lambda name: True,
+        may_remove: Callable[[str], bool] = lambda name: True,
+    ) -> Push | None:
+        """What to send now, if anything; it counts as sent. `may_add` and `may_remove` tell of other types'
+        lines whether a name's turn has come: makes go from clusters on, breaks go back to them."""
         self._look(shelf)
         if not self.asked or not shelf.ready or not (self.stale or self.alone or self.owes):
             return None
@@ -262,18 +288,25 @@
         found = {name: self._next(name, shelf) for name in names if name in shelf.items}
         items = tuple((name, content) for name, content in found.items() if content.body is not None)
         removed = tuple(name for name in names if name not in found or found[name].body is None)
-        return self._note(items, removed, urgent, digest([content.version for _, content in items], removed), shelf)
+        return self._note(
+            items, removed, urgent, digest([content.version for _, content in items], removed), shelf
+        )
 
-    def _sends_all(self, shelf: Shelf, ready: list[str], urgent: bool, may_add: Callable,
-                   may_remove: Callable) -> Push | None:
+    def _sends_all(
+        self, shelf: Shelf, ready: list[str], urgent: bool, may_add: Callable, may_remove: Callable
+    ) -> Push | None:
         """All that is wanted; a name whose turn to go has not come is held back with the whole push."""
         if any(name not in shelf.items and name not in ready for name in self.stale):
             return None
         if not ready and (self.stale or not self.owes):
             return None  # a push without what is to come would tell that it does not exist
-        items = tuple((name, content) for name in shelf.items
-                      if self._wants(name) and self._may(name, shelf, may_add, may_remove)
-                      and (content := self._next(name, shelf)).body is not None)
+        items = tuple(
+            (name, content)
+            for name in shelf.items
+            if self._wants(name)
+            and self._may(name, shelf, may_add, may_remove)
+            and (content := self._next(name, shelf)).body is not None
+        )
         version = digest([(name, content.version) for name, content in items])
         if version == self.refused_all:
             for name in ready:
@@ -289,7 +322,9 @@
         self.count += 1
         self.nonce, self.owes = f"{self.life}.{self.count}", False
         took = {name: content.seq for name, content in items} | dict.fromkeys(removed, ABSENT)
-        self.flights.append(Flight(self.nonce, version, took, {name: content.version for name, content in items}))
+        self.flights.append(
+            Flight(self.nonce, version, took, {name: content.version for name, content in items})
+        )
         self.sent |= took
         for name, seq in took.items():
             if name in shelf.items and seq != shelf.items[name].now.seq:
--- a/oatcart/xds/serve.py
+++ b/oatcart/xds/serve.py
@@ -28,32 +28,67 @@
     """A whole conductor in this process; `cfg` is what `EDGE_CONFIG` names, read; `woken` is readable
     once it is to be read again."""
 
-    def __init__(self, cfg: dict, xds: Xds, woken: socket.socket,
-                 traced: Callable[[Callable], Callable] = lambda make: make) -> None:
+    def __init__(
+        self,
+        cfg: dict,
+        xds: Xds,
+        woken: socket.socket,
+        traced: Callable[[Callable], Callable] = lambda make: make,
+    ) -> None:
         self.xds = xds
         self.loop, self.rounds, self.acceptor = assemble(cfg, woken, traced(self._rounds))
         records, codec = start_records(cfg["settings"]), self.rounds.codec
         zones = sorted(codec.zones, key=codec.zones.get)
         self.front = Front(
-            self.rounds, list(zip(codec.kind_names, records["kinds"], strict=True)), zones, codec.proxies,
-            new_life(time.time_ns(), int(cfg["seed"], 16)), Gate(xds.clients, xds.streams, xds.names, xds.pushes),
-            Budget(xds.pushes), records["admitting"] == "rate", xds.home_zone, self.rounds.log.say)
+            self.rounds,
+            list(zip(codec.kind_names, records["kinds"], strict=True)),
+            zones,
+            codec.proxies,
+            new_life(time.time_ns(), int(cfg["seed"], 16)),
+            Gate(xds.clients, xds.streams, xds.names, xds.pushes),
+            Budget(xds.pushes),
+            records["admitting"] == "rate",
+            xds.home_zone,
+            self.rounds.log.say,
+        )
         self.nested = Nested(self.loop, self.rounds)
         self.encoder = Encoder()
-        self.server = Server(self.front, self.encoder, self.loop.clock, xds.unread_for, xds.report_every,
-                             xds.clients * xds.streams, self.place, self.rounds.log.say, self.nested.kick)
+        self.server = Server(
+            self.front,
+            self.encoder,
+            self.loop.clock,
+            xds.unread_for,
+            xds.report_every,
+            xds.clients * xds.streams,
+            self.place,
+            self.rounds.log.say,
+            self.nested.kick,
+        )
 
         self.follower = None
         if xds.source is not None:
             believed = Believed(xds.source.hold)
             if not xds.source.with_roll:  # the list known at the start is what that server is held against
                 known = self.rounds.merge.move()
-                believed.begin({codec.nodes[at]: Told(zone, state, nominal, started)
-                                for at, zone, started, state, nominal in known})
+                believed.begin(
+                    {
+                        codec.nodes[at]: Told(zone, state, nominal, started)
+                        for at, zone, started, state, nominal in known
+                    }
+                )
             self.follower = Follower(
-                xds.source.address, xds.source.cluster, cfg.get("name", ""), codec, self.rounds.watcher.addresses,
-                believed, Backoff(xds.source.dial_most, Random(int(cfg["seed"], 16)).uniform),
-                self.loop.clock, time.time, self._listed, self.rounds.log.say)
+                xds.source.address,
+                xds.source.cluster,
+                cfg.get("name", ""),
+                codec,
+                self.rounds.watcher.addresses,
+                believed,
+                Backoff(xds.source.dial_most, Random(int(cfg["seed"], 16)).uniform),
+                self.loop.clock,
+                time.time,
+                self._listed,
+                self.rounds.log.say,
+            )
 
     def _rounds(self, *args: object) -> XdsRounds:
         rounds = XdsRounds(*args)
--- a/oatcart/xds/server.py
+++ b/oatcart/xds/server.py
@@ -1,7 +1,7 @@
 """The xDS services over gRPC: streams in, pushes out. What is sent when is decided in `front.py`.
 
-Requests and responses pass as bytes, so that a response made once is never copied into messages again. All of it runs
-on one asyncio loop, in one thread with the conductor's own (`nested.py`).
+Requests and responses pass as bytes, so that a response made once is never copied into messages again. All of
+it runs on one asyncio loop, in one thread with the conductor's own (`nested.py`).
 """
 
 import asyncio
@@ -23,16 +23,27 @@
 RETRY_PUSHBACK = "grpc-retry-pushback-ms"  # gRFC A6: when to come back
 DISCOVERY = "envoy.service.discovery.v3."
 STREAMS = {  # method: (incremental, the one type it is for)
-    DISCOVERY + "AggregatedDiscoveryService": {"StreamAggregatedResources": (False, None),
-                                               "DeltaAggregatedResources": (True, None)},
-    "envoy.service.cluster.v3.ClusterDiscoveryService": {"StreamClusters": (False, CLUSTER),
-                                                         "DeltaClusters": (True, CLUSTER)},
-    "envoy.service.endpoint.v3.EndpointDiscoveryService": {"StreamEndpoints": (False, ENDPOINTS),
-                                                           "DeltaEndpoints": (True, ENDPOINTS)},
+    DISCOVERY + "AggregatedDiscoveryService": {
+        "StreamAggregatedResources": (False, None),
+        "DeltaAggregatedResources": (True, None),
+    },
+    "envoy.service.cluster.v3.ClusterDiscoveryService": {
+        "StreamClusters": (False, CLUSTER),
+        "DeltaClusters": (True, CLUSTER),
+    },
+    "envoy.service.endpoint.v3.EndpointDiscoveryService": {
+        "StreamEndpoints": (False, ENDPOINTS),
+        "DeltaEndpoints": (True, ENDPOINTS),
+    },
     "envoy.service.endpoint.v3.LocalityEndpointDiscoveryService": {"DeltaLocalityEndpoints": (True, MEMBER)},
-    "envoy.service.listener.v3.ListenerDiscoveryService": {"StreamListeners": (False, LISTENER),
-                                                           "DeltaListeners": (True, LISTENER)},
-    "envoy.service.route.v3.RouteDiscoveryService": {"StreamRoutes": (False, ROUTE), "DeltaRoutes": (True, ROUTE)},
+    "envoy.service.listener.v3.ListenerDiscoveryService": {
+        "StreamListeners": (False, LISTENER),
+        "DeltaListeners": (True, LISTENER),
+    },
+    "envoy.service.route.v3.RouteDiscoveryService": {
+        "StreamRoutes": (False, ROUTE),
+        "DeltaRoutes": (True, ROUTE),
+    },
 }
 LOADS = "envoy.service.load_stats.v3.LoadReportingService"
 
@@ -51,12 +62,21 @@
 
 
 class Server:
-    """`unread_for`: s that a client may leave a push unread; `report_every`: s between load reports; `kick`: called
-    when the module was told something."""
-
-    def __init__(self, front: Front, encoder: Encoder, clock: Callable[[], float], unread_for: float,
-                 report_every: float, streams_most: int, place: Callable[[object], int | None],
-                 say: Callable[[str, str], None], kick: Callable[[], None]) -> None:
+    """`unread_for`: s that a client may leave a push unread; `report_every`: s between load reports; `kick`:
+    called when the module was told something."""
+
+    def __init__(
+        self,
+        front: Front,
+        encoder: Encoder,
+        clock: Callable[[], float],
+        unread_for: float,
+        report_every: float,
+        streams_most: int,
+        place: Callable[[object], int | None],
+        say: Callable[[str, str], None],
+        kick: Callable[[], None],
+    ) -> None:
         self.front, self.encoder, self.clock, self.unread_for = front, encoder, clock, unread_for
         self.report_every, self.streams_most, self.place, self.say = report_every, streams_most, place, say
         self.kick = kick
@@ -69,17 +89,36 @@
     async def start(self, address: str) -> int:
         """Listen there; hands back the port."""
         self.loop = asyncio.get_running_loop()
-        self.server = grpc.aio.server(options=[
-            ("grpc.max_receive_message_length", REQUEST_MOST), ("grpc.so_reuseport", 0),
-            ("grpc.max_concurrent_streams", self.streams_most),
-            ("grpc.keepalive_time_ms", 20_000), ("grpc.keepalive_timeout_ms", 5_000),
-            ("grpc.http2.min_ping_interval_without_data_ms", 5_000), ("grpc.keepalive_permit_without_calls", 1)])
+        self.server = grpc.aio.server(
+            options=[
+                ("grpc.max_receive_message_length", REQUEST_MOST),
+                ("grpc.so_reuseport", 0),
+                ("grpc.max_concurrent_streams", self.streams_most),
+                ("grpc.keepalive_time_ms", 20_000),
+                ("grpc.keepalive_timeout_ms", 5_000),
+                ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
+                ("grpc.keepalive_permit_without_calls", 1),
+            ]
+        )
         for service, methods in STREAMS.items():
-            self.server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(service, {
-                method: grpc.stream_stream_rpc_method_handler(self._serving(delta, only))
-                for method, (delta, only) in methods.items()}),))
-        self.server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(LOADS, {
-            "StreamLoadStats": grpc.stream_stream_rpc_method_handler(self._reports)}),))
+            self.server.add_generic_rpc_handlers(
+                (
+                    grpc.method_handlers_generic_handler(
+                        service,
+                        {
+                            method: grpc.stream_stream_rpc_method_handler(self._serving(delta, only))
+                            for method, (delta, only) in methods.items()
+                        },
+                    ),
+                )
+            )
+        self.server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    LOADS, {"StreamLoadStats": grpc.stream_stream_rpc_method_handler(self._reports)}
+                ),
+            )
+        )
         port = self.server.add_insecure_port(address)
         await self.server.start()
         return port
@@ -113,6 +152,7 @@
     def _serving(self, delta: bool, only: str | None) -> Callable[..., Awaitable[None]]:
         async def serve(requests: object, context: grpc.aio.ServicerContext) -> None:
             await self._life(delta, only, context)
+
         return serve
 
     async def _life(self, delta: bool, only: str | None, context: grpc.aio.ServicerContext) -> None:
@@ -134,8 +174,11 @@
                             self.sent_bytes, self.sent = self.sent_bytes + len(one), self.sent + 1
                             await context.write(one)
                 except TimeoutError:
-                    raise Refused("RESOURCE_EXHAUSTED", f"a push was left unread for {self.unread_for:g} s",
-                                  self.unread_for) from None
+                    raise Refused(
+                        "RESOURCE_EXHAUSTED",
+                        f"a push was left unread for {self.unread_for:g} s",
+                        self.unread_for,
+                    ) from None
                 self.front.written(stream)
                 self.soon()
             raise live.over
@@ -178,7 +221,9 @@
         self.kick()
 
     async def _reports(self, requests: object, context: grpc.aio.ServicerContext) -> None:
-        """The life of a stream of load reports: the first says who it is, then each is taken or costs itself alone."""
+        """The life of a stream of load reports: the first says who it is, then each is taken or costs itself
+        alone.
+        """
         books, node = Books(), None
         if self.reporting >= self.streams_most:
             context.set_code(grpc.StatusCode.RESOURCE_EXHAUSTED)
@@ -195,12 +240,15 @@
                     if node is None and told is not None:
                         node = told
                         answer = lrs_pb2.LoadStatsResponse(
-                            clusters=[name for name, _ in self.front.kinds], report_endpoint_granularity=True)
+                            clusters=[name for name, _ in self.front.kinds], report_endpoint_granularity=True
+                        )
                         answer.load_reporting_interval.FromNanoseconds(int(self.report_every * 1e9))
                         await context.write(answer.SerializeToString())
                     if node is None:
                         context.set_code(grpc.StatusCode.INVALID_ARGUMENT)
-                        return context.set_details("node.id: the first report of a stream has to say who sends it")
+                        return context.set_details(
+                            "node.id: the first report of a stream has to say who sends it"
+                        )
                     self.front.report(node.id, books, reports, self.place, lambda odd: self.say("odd", odd))
                     self.kick()
         finally:
--- a/oatcart/xds/shelf.py
+++ b/oatcart/xds/shelf.py
@@ -1,7 +1,9 @@
-"""Resources as clients may hold them: by name, each with what it says now and what nobody may skip. Free of I/O.
+"""Resources as clients may hold them: by name, each with what it says now and what nobody may skip. Free of
+I/O.
 
-A resource's version is a digest of what it says: equal contents bear equal versions, in a conductor's former life too,
-so versions of two lives never stand for different contents. The order of changes is kept apart from it, in `seq`.
+A resource's version is a digest of what it says: equal contents bear equal versions, in a conductor's former
+life too, so versions of two lives never stand for different contents. The order of changes is kept apart from
+it, in `seq`.
 """
 
 from collections import deque
@@ -26,8 +28,8 @@
 
 
 class Content(NamedTuple):
-    """What a resource says. `picks`: the nodes that may be picked by it; `body` is opaque here, None: that there was
-    none for a while."""
+    """What a resource says. `picks`: the nodes that may be picked by it; `body` is opaque here, None: that
+    there was none for a while."""
 
     seq: int
     version: str
@@ -61,8 +63,8 @@
         self.now = content
 
     def after(self, seq: int) -> Content:
-        """What comes next for a client that was sent so much: a drain or a withdrawal that has since been taken back
-        is not merged away, as whoever came back is another life of the node."""
+        """What comes next for a client that was sent so much: a drain or a withdrawal that has since been
+        taken back is not merged away, as whoever came back is another life of the node."""
         for step in self.steps:
             if step.content.seq > seq and step.lost & self.now.picks:
                 return step.content
@@ -71,14 +73,15 @@
 
 @dataclass(slots=True)
 class Shelf:
-    """The resources of one type as one sort of client sees them. `ready`: they are known; until then none is told
-    that something does not exist."""
+    """The resources of one type as one sort of client sees them. `ready`: they are known; until then none is
+    told that something does not exist."""
 
     items: dict[str, Item] = field(default_factory=dict)
     ready: bool = False
     log: deque = field(default_factory=lambda: deque(maxlen=LOG_MOST))  # (seq, name), in order
     seq: int = 0
-    ghosts: dict = field(default_factory=dict)  # by name, oldest first: the step that a dropped one ended with
+    # by name, oldest first: the step that a dropped one ended with
+    ghosts: dict = field(default_factory=dict)
     urgent: int = 0  # the seq of the last change that waits for nobody
 
     def put(self, at: float, name: str, body: Hashable, picks: Iterable = (), urgent: bool = False) -> bool:
@@ -98,7 +101,9 @@
         return True
 
     def drop(self, at: float, name: str) -> None:
-        """Should it come back soon, nobody may skip that it was gone: it is another life of whatever it tells of."""
+        """Should it come back soon, nobody may skip that it was gone: it is another life of whatever it tells
+        of.
+        """
         item = self.items.pop(name, None)
         if item is not None:
             self._turned(name)
@@ -125,4 +130,4 @@
             return []
         if self.seq - seq > len(self.log):
             return None
-        return [name for _, name in list(self.log)[seq - self.seq:]]
+        return [name for _, name in list(self.log)[seq - self.seq :]]
--- a/oatcart/xds/source.py
+++ b/oatcart/xds/source.py
@@ -1,10 +1,11 @@
-"""What is believed of a management server that nodes are taken from, and how two lists become one. Free of I/O.
-
-A server may be wrong for one answer, silent, or gone; the last list that was believed stands until a better one is.
-The rules: a drain is believed at once. An answer that drops half of the list or more is doubted: those that it drops
-stay as they were, and the server is asked anew, on a fresh stream, after a hold; if they are missing then too, they are
-gone. A list without any node that may be picked is never believed: it cannot be told from a fault, and nodes that are
-really gone show as unreached.
+"""What is believed of a management server that nodes are taken from, and how two lists become one. Free of
+I/O.
+
+A server may be wrong for one answer, silent, or gone; the last list that was believed stands until a better
+one is. The rules: a drain is believed at once. An answer that drops half of the list or more is doubted:
+those that it drops stay as they were, and the server is asked anew, on a fresh stream, after a hold; if they
+are missing then too, they are gone. A list without any node that may be picked is never believed: it cannot
+be told from a fault, and nodes that are really gone show as unreached.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -59,7 +60,7 @@
         self.started = {name: one.started or 0.0 for name, one in known.items()}
 
     def take(self, now: float, unix: float, told: Mapping[str, Told], fresh: bool) -> str:
-        """An answer, whole; `fresh`: the first one on its stream. Hands back why it was doubted, if it was."""
+        """An answer, whole; `fresh`: the first one on its stream. Returns why it was doubted, if it was."""
         picks = {name for name, one in told.items() if one.state == our.READY}
         before = {name for name, one in self.standing.items() if one.state == our.READY}
         dropped = {name for name in before if name not in told}
@@ -72,7 +73,9 @@
             self.doubts += 1
             return "it has no node that may be picked"
         confirmed = {name for name in dropped if fresh and now - self.doubted.get(name, inf) >= self.hold}
-        doubtful = len(dropped) >= max(2.0, DOUBT_FROM * len(before)) or any(name in self.doubted for name in dropped)
+        doubtful = len(dropped) >= max(2.0, DOUBT_FROM * len(before)) or any(
+            name in self.doubted for name in dropped
+        )
         kept = dropped - confirmed if doubtful else set()
         self._start(unix, told)
         standing = dict(told) | {name: self.standing[name] for name in kept}
@@ -96,8 +99,8 @@
                 self.standing[name] = self.standing[name]._replace(state=our.DRAINING)
 
     def _start(self, unix: float, told: Mapping[str, Told]) -> None:
-        """When nodes started, as xDS does not tell: who stands in the first list did so long ago, who comes later, or
-        comes back from a drain, has just started, and is cold. A server that tells is believed."""
+        """When nodes started, as xDS does not tell: who stands in the first list did so long ago, who comes
+        later, or comes back from a drain, has just started, and is cold. A server that tells is believed."""
         for name, one in told.items():
             old = self.standing.get(name)
             if one.started is not None:
@@ -113,13 +116,16 @@
 
     def entries(self, place: Callable[[str], int]) -> list[tuple]:
         """The list as `interface.py` has it."""
-        return [(place(name), one.zone, self.started.get(name, 0.0), one.state, one.nominal)
-                for name, one in self.standing.items()]
+        return [
+            (place(name), one.zone, self.started.get(name, 0.0), one.state, one.nominal)
+            for name, one in self.standing.items()
+        ]
 
 
 class Merge:
-    """Two lists of nodes as one, by the nodes' numbers. Who is in either is in; a drain told by either counts; the
-    rest is the roll's word where it has one, but of two starts the later, as a node restarted cold is cold."""
+    """Two lists of nodes as one, by the nodes' numbers. Who is in either is in; a drain told by either
+    counts; the rest is the roll's word where it has one, but of two starts the later, as a node restarted
+    cold is cold."""
 
     def __init__(self) -> None:
         self.lists: tuple[dict, dict] = ({}, {})
--- a/oatcart/xds/standin/__main__.py
+++ b/oatcart/xds/standin/__main__.py
@@ -1,4 +1,6 @@
-"""A client's view of a conductor, live: `python -m oatcart.xds.standin 127.0.0.1:18000 --zone east lookup order`."""
+"""A client's view of a conductor, live: `python -m oatcart.xds.standin 127.0.0.1:18000 --zone east lookup
+order`.
+"""
 
 import argparse
 import asyncio
@@ -11,12 +13,16 @@
 
 
 def lines(client: Client) -> list[str]:
-    """What it holds, a line a kind: drops, then each node's weight, with its health where that is not healthy."""
+    """What it holds, a line a kind: drops, then each node's weight, with its health where that is not
+    healthy.
+    """
     out = []
     for kind, (_, message) in sorted(client.held[ENDPOINTS].items()):
         drops = sum(one.drop_percentage.numerator for one in message.policy.drop_overloads) / 10_000
-        nodes = [f"{name} {weight}" + ("" if health == "HEALTHY" else f" {health.lower()}")
-                 for name, (weight, health) in sorted(client.endpoints(kind).items())]
+        nodes = [
+            f"{name} {weight}" + ("" if health == "HEALTHY" else f" {health.lower()}")
+            for name, (weight, health) in sorted(client.endpoints(kind).items())
+        ]
         out.append(f"{kind}: {f'{drops:g}% turned away; ' if drops else ''}{', '.join(nodes) or 'no node'}")
     return out
 
@@ -34,12 +40,17 @@
             client.ask(ENDPOINTS, kinds)
             client.ask(ROUTE, kinds)
             asked = True
-        if (missing := [one for one in client.collections() if one not in client.names[MEMBER]]):
+        if missing := [one for one in client.collections() if one not in client.names[MEMBER]]:
             client.ask(MEMBER, missing)
         whole = not client.collections() or client.held[MEMBER]  # else its endpoints are still to come
         if whole and (now := lines(client)) != shown:
             shown = now
-            print(f"{time.monotonic() - began:8.2f} s  {client.bytes} bytes so far", *shown, sep="\n    ", flush=True)
+            print(
+                f"{time.monotonic() - began:8.2f} s  {client.bytes} bytes so far",
+                *shown,
+                sep="\n    ",
+                flush=True,
+            )
             if told.once:
                 break
         await client.news.wait()
--- a/oatcart/xds/standin/channel.py
+++ b/oatcart/xds/standin/channel.py
@@ -1,7 +1,7 @@
 """gRPC's own xDS client in a process of its own: `python -m oatcart.xds.standin.channel ADDRESS ID ZONE`.
 
-It reads one command a line and answers each with a line of JSON: `call KIND N [KEY]` makes N calls over `xds:///KIND`
-and tells how many each node answered and how many ended with which status.
+It reads one command a line and answers each with a line of JSON: `call KIND N [KEY]` makes N calls over
+`xds:///KIND` and tells how many each node answered and how many ended with which status.
 """
 
 import json
@@ -18,10 +18,18 @@
 
 def bootstrap(address: str, id: str, zone: str) -> str:
     """gRFC A27's bootstrap for one management server, without TLS."""
-    return json.dumps({
-        "xds_servers": [{"server_uri": address, "channel_creds": [{"type": "insecure"}],
-                         "server_features": ["xds_v3"]}],
-        "node": {"id": id, "locality": {"zone": zone}}})
+    return json.dumps(
+        {
+            "xds_servers": [
+                {
+                    "server_uri": address,
+                    "channel_creds": [{"type": "insecure"}],
+                    "server_features": ["xds_v3"],
+                }
+            ],
+            "node": {"id": id, "locality": {"zone": zone}},
+        }
+    )
 
 
 def calls(channel: grpc.Channel, count: int, key: str) -> dict:
--- a/oatcart/xds/standin/client.py
+++ b/oatcart/xds/standin/client.py
@@ -1,11 +1,11 @@
-"""A scripted xDS client: it keeps its view as published, and may be late, refuse, read nothing or come back."""
+"""A scripted xDS client: it keeps its view as published, may be late, refuse, read nothing or come back."""
 
 import asyncio
 from collections.abc import Callable
 
 import grpc
-from envoy.config.endpoint.v3 import endpoint_components_pb2, endpoint_pb2
 from envoy.config.core.v3 import base_pb2, health_check_pb2
+from envoy.config.endpoint.v3 import endpoint_components_pb2, endpoint_pb2
 from envoy.service.discovery.v3 import discovery_pb2
 
 from oatcart.xds.encode import TYPES
@@ -21,18 +21,27 @@
 
 
 class Client:
-    """`refuses`: given a type and a resource's message, the words of a refusal or nothing. Answers wait for `answers`
-    to be set; `reads` is set as long as it reads at all."""
+    """`refuses`: given a type and a resource's message, the words of a refusal or nothing. Answers wait for
+    `answers` to be set; `reads` is set as long as it reads at all."""
 
-    def __init__(self, address: str, id: str, zone: str = "", delta: bool = False, shape: str = "",
-                 refuses: Callable = lambda kind, message: "", channel: grpc.aio.Channel | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        id: str,
+        zone: str = "",
+        delta: bool = False,
+        shape: str = "",
+        refuses: Callable = lambda kind, message: "",
+        channel: grpc.aio.Channel | None = None,
+    ) -> None:
         self.id, self.delta, self.refuses = id, delta, refuses
         self.node = base_pb2.Node(id=id, locality=base_pb2.Locality(zone=zone), user_agent_name="standin")
         if shape:
             self.node.metadata["oatcart.endpoints"] = shape
         self.own = channel is None
-        self.channel = channel or grpc.aio.insecure_channel(address, options=[
-            ("grpc.use_local_subchannel_pool", 1), ("grpc.http2.bdp_probe", 0)])
+        self.channel = channel or grpc.aio.insecure_channel(
+            address, options=[("grpc.use_local_subchannel_pool", 1), ("grpc.http2.bdp_probe", 0)]
+        )
         self.reads, self.answers = asyncio.Event(), asyncio.Event()
         self.reads.set()
         self.answers.set()
@@ -63,8 +72,14 @@
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
             pass
 
-    def ask(self, kind: str, names: list[str] = (), unsubscribe: list[str] = (), nonce: str | None = None,
-            refusal: str = "") -> None:
+    def ask(
+        self,
+        kind: str,
+        names: list[str] = (),
+        unsubscribe: list[str] = (),
+        nonce: str | None = None,
+        refusal: str = "",
+    ) -> None:
         """Subscribe to names; without any, to all. On a first request the versions held go along."""
         node, first = None if self.fresh else self.node, kind not in self.fresh
         self.fresh.add(kind)
@@ -74,16 +89,24 @@
         self.names[kind] |= dict.fromkeys(names)
         if self.delta:
             message = discovery_pb2.DeltaDiscoveryRequest(
-                node=node, type_url=TYPES[kind], resource_names_unsubscribe=unsubscribe,
-                resource_names_subscribe=self.names[kind] if first else names, response_nonce=nonce or "")
+                node=node,
+                type_url=TYPES[kind],
+                resource_names_unsubscribe=unsubscribe,
+                resource_names_subscribe=self.names[kind] if first else names,
+                response_nonce=nonce or "",
+            )
             if first:
-                message.initial_resource_versions.update({name: version for name, (version, _) in
-                                                          self.held[kind].items()})
+                message.initial_resource_versions.update(
+                    {name: version for name, (version, _) in self.held[kind].items()}
+                )
         else:
             message = discovery_pb2.DiscoveryRequest(
-                node=node, type_url=TYPES[kind], resource_names=self.names[kind],
+                node=node,
+                type_url=TYPES[kind],
+                resource_names=self.names[kind],
                 version_info=self.versions.get(kind, ""),
-                response_nonce=self.nonces.get(kind, "") if nonce is None else nonce)
+                response_nonce=self.nonces.get(kind, "") if nonce is None else nonce,
+            )
         if refusal:
             message.error_detail.code, message.error_detail.message = 3, refusal
         self.out.put_nowait(message)
@@ -93,7 +116,9 @@
         self.out.put_nowait(message)
 
     async def _read(self) -> None:
-        make = (discovery_pb2.DeltaDiscoveryResponse if self.delta else discovery_pb2.DiscoveryResponse).FromString
+        make = (
+            discovery_pb2.DeltaDiscoveryResponse if self.delta else discovery_pb2.DiscoveryResponse
+        ).FromString
         try:
             while True:
                 await self.reads.wait()
@@ -106,8 +131,11 @@
             pass
         except asyncio.CancelledError:
             return
-        self.status = ((await self.call.code()).name, await self.call.details() or "",
-                       dict(await self.call.trailing_metadata() or ()))
+        self.status = (
+            (await self.call.code()).name,
+            await self.call.details() or "",
+            dict(await self.call.trailing_metadata() or ()),
+        )
         self.news.set()
 
     async def _take(self, response: object) -> None:
@@ -118,7 +146,10 @@
             message = MESSAGES[kind]()
             packed.Unpack(message)
             named = message.cluster_name if kind == ENDPOINTS else "" if kind == MEMBER else message.name
-            new[one.name if self.delta else named] = (one.version if self.delta else response.version_info, message)
+            new[one.name if self.delta else named] = (
+                one.version if self.delta else response.version_info,
+                message,
+            )
         removed = list(response.removed_resources) if self.delta else []
         words = "; ".join(filter(None, (self.refuses(kind, message) for _, message in new.values())))
         if not words:
@@ -151,14 +182,20 @@
             for lb in part.lb_endpoints:
                 weight = part.load_balancing_weight.value if part.locality.sub_zone else 0
                 found[lb.endpoint.hostname] = (weight or seen(lb)[0], seen(lb)[1])
-            found |= {message.endpoint.hostname: seen(message) for name, (_, message) in self.held[MEMBER].items()
-                      if begins and name.startswith(begins)}
+            found |= {
+                message.endpoint.hostname: seen(message)
+                for name, (_, message) in self.held[MEMBER].items()
+                if begins and name.startswith(begins)
+            }
         return found
 
     def count(self) -> int:
         """How many endpoints it holds of all kinds, at least."""
-        return len(self.held[MEMBER]) or sum(len(part.lb_endpoints) for _, message in self.held[ENDPOINTS].values()
-                                             for part in message.endpoints)
+        return len(self.held[MEMBER]) or sum(
+            len(part.lb_endpoints)
+            for _, message in self.held[ENDPOINTS].values()
+            for part in message.endpoints
+        )
 
     def endpoint(self, kind: str, name: str) -> tuple[int, str]:
         """Weight and health of one node as `endpoints` has them, found without looking at all others."""
@@ -174,8 +211,14 @@
         return 0, ""
 
     def collections(self) -> list[str]:
-        return sorted({part.leds_cluster_locality_config.leds_collection_name
-                       for _, message in self.held[ENDPOINTS].values() for part in message.endpoints} - {""})
+        return sorted(
+            {
+                part.leds_cluster_locality_config.leds_collection_name
+                for _, message in self.held[ENDPOINTS].values()
+                for part in message.endpoints
+            }
+            - {""}
+        )
 
     async def until(self, met: Callable[[], object], within: float = 10.0) -> object:
         """Wait until something about its view holds; an error that shows what came if it does not in time."""
@@ -187,8 +230,9 @@
                 return found
             except asyncio.CancelledError:
                 holds = str({name: self.endpoints(name) for name in self.held[ENDPOINTS]})[:1000]
-                raise AssertionError(f"{self.id}: got {str(self.got[-5:])[:500]}, status {self.status}, "
-                                     f"holds {holds}") from None
+                raise AssertionError(
+                    f"{self.id}: got {str(self.got[-5:])[:500]}, status {self.status}, holds {holds}"
+                ) from None
 
     async def drop(self) -> None:
         """The stream is cut; what it holds stays."""
@@ -207,9 +251,14 @@
     from envoy.config.cluster.v3 import cluster_pb2
     from envoy.config.listener.v3 import listener_pb2
     from envoy.config.route.v3 import route_pb2
-    return {CLUSTER: cluster_pb2.Cluster, ENDPOINTS: endpoint_pb2.ClusterLoadAssignment,
-            MEMBER: endpoint_components_pb2.LbEndpoint, LISTENER: listener_pb2.Listener,
-            ROUTE: route_pb2.RouteConfiguration}
+
+    return {
+        CLUSTER: cluster_pb2.Cluster,
+        ENDPOINTS: endpoint_pb2.ClusterLoadAssignment,
+        MEMBER: endpoint_components_pb2.LbEndpoint,
+        LISTENER: listener_pb2.Listener,
+        ROUTE: route_pb2.RouteConfiguration,
+    }
 
 
 MESSAGES = _messages()
--- a/oatcart/xds/standin/management.py
+++ b/oatcart/xds/standin/management.py
@@ -25,8 +25,13 @@
 
     async def start(self, port: int = 0) -> int:
         self.server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
-        self.server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE, {
-            "StreamAggregatedResources": grpc.stream_stream_rpc_method_handler(self._life)}),))
+        self.server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    SERVICE, {"StreamAggregatedResources": grpc.stream_stream_rpc_method_handler(self._life)}
+                ),
+            )
+        )
         self.port = self.server.add_insecure_port(f"127.0.0.1:{port}")
         await self.server.start()
         return self.port
@@ -45,8 +50,9 @@
             one.endpoint.address.socket_address.port_value = port
             one.load_balancing_weight.value = weight
         self.count += 1
-        response = discovery_pb2.DiscoveryResponse(type_url=TYPES[ENDPOINTS], nonce=str(self.count),
-                                                   version_info=str(self.count))
+        response = discovery_pb2.DiscoveryResponse(
+            type_url=TYPES[ENDPOINTS], nonce=str(self.count), version_info=str(self.count)
+        )
         response.resources.add().Pack(made)
         return response.SerializeToString()
 
--- a/oatcart/xds/standin/nodes.py
+++ b/oatcart/xds/standin/nodes.py
@@ -15,8 +15,13 @@
 
     async def start(self, port: int = 0) -> int:
         self.server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
-        self.server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE, {
-            METHOD: grpc.unary_unary_rpc_method_handler(self._run)}),))
+        self.server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    SERVICE, {METHOD: grpc.unary_unary_rpc_method_handler(self._run)}
+                ),
+            )
+        )
         self.port = self.server.add_insecure_port(f"127.0.0.1:{port}")
         await self.server.start()
         return self.port
--- a/oatcart/xds/view.py
+++ b/oatcart/xds/view.py
@@ -1,7 +1,9 @@
-"""What a conductor's tables mean to xDS clients: endpoints, their health and weights, drops, tries. Free of I/O.
+"""What a conductor's tables mean to xDS clients: endpoints, their health and weights, drops, tries. Free of
+I/O.
 
-A line of a table is an endpoint; shut out, its health says why: draining by the list, else withdrawn. A draining node
-stays in sight, unpickable, until the list drops it. Source of the words: Envoy's endpoint and cluster messages, v3.
+A line of a table is an endpoint; shut out, its health says why: draining by the list, else withdrawn. A
+draining node stays in sight, unpickable, until the list drops it. Source of the words: Envoy's endpoint and
+cluster messages, v3.
 """
 
 from collections.abc import Iterable, Mapping
@@ -11,10 +13,11 @@
 from oatcart import interface as our
 
 HEALTHY, DRAINING, UNHEALTHY = "HEALTHY", "DRAINING", "UNHEALTHY"
-WHOLE, EACH, SPREAD = "whole", "each", "spread"  # shapes: endpoints within their cluster; each a resource of its own;
-# each a locality of its own, as gRPC's own client weighs localities and not endpoints
+# Shapes: endpoints within their cluster; each a resource of its own; each a locality of its own, as gRPC's
+# own client weighs localities and not endpoints
+WHOLE, EACH, SPREAD = "whole", "each", "spread"
 MILLION = 1_000_000  # drops are parts of it
-WEIGHTS_MOST = 2 ** 32 - 1  # what the weights of one cluster may sum up to
+WEIGHTS_MOST = 2**32 - 1  # what the weights of one cluster may sum up to
 FINE = 50.0  # the least weight as a whole number, so that rounding moves no ratio by more than 1%
 SCALES_MOST = 6  # powers of ten
 SUNK = 0.5  # a weight that falls below this part of what it was is as urgent as a drain
@@ -32,8 +35,9 @@
 
 
 class Assignment(NamedTuple):
-    """The endpoints of a request kind as one sort of client sees them. `drop`: parts in a million that the client
-    answers itself. `collections`: where each endpoint is a resource, their zones and what begins their names."""
+    """The endpoints of a request kind as one sort of client sees them. `drop`: parts in a million that the
+    client answers itself. `collections`: where each endpoint is a resource, their zones and what begins their
+    names."""
 
     kind: str
     shape: str
@@ -92,8 +96,9 @@
 
 
 def whole_numbers(weights: Mapping[int, float]) -> dict[int, int]:
-    """Weights as whole numbers of at least 1 whose ratios are within 1% of the given ones. Whole ones stay as they
-    are; others are scaled by a power of ten, which rarely changes, so that one weight's change is one endpoint's.
+    """Weights as whole numbers of at least 1 whose ratios are within 1% of the given ones. Whole ones stay as
+    they are; others are scaled by a power of ten, which rarely changes, so that one weight's change is one
+    endpoint's.
 
     >>> whole_numbers({1: 3.0, 2: 40}), whole_numbers({1: 0.5, 2: 0.75}), whole_numbers({})
     ({1: 3, 2: 40}, {1: 50, 2: 75}, {})
@@ -101,7 +106,9 @@
     scale = 1
     if any(weight != int(weight) for weight in weights.values()):
         least = min(weights.values())
-        scale = next((10 ** power for power in range(SCALES_MOST) if least * 10 ** power >= FINE), 10 ** SCALES_MOST)
+        scale = next(
+            (10**power for power in range(SCALES_MOST) if least * 10**power >= FINE), 10**SCALES_MOST
+        )
     total = sum(weights.values()) * scale
     if total > WEIGHTS_MOST / 2:
         scale *= WEIGHTS_MOST / 2 / total
@@ -111,20 +118,26 @@
 def health(shut: bool, state: int) -> str | None:
     """What a node with a line is to clients; None: nothing, as it is gone.
 
-    >>> health(False, our.DRAINING), health(True, our.DRAINING), health(True, our.READY), health(True, our.GONE)
-    ('HEALTHY', 'DRAINING', 'UNHEALTHY', None)
+    >>> health(False, our.DRAINING), health(True, our.DRAINING)
+    ('HEALTHY', 'DRAINING')
+    >>> health(True, our.READY), health(True, our.GONE)
+    ('UNHEALTHY', None)
     """
     if not shut:
         return HEALTHY  # the module has not decided otherwise yet
     return {our.DRAINING: DRAINING, our.READY: UNHEALTHY}.get(state)
 
 
-def seen(lines: Mapping[int, float], leaving: Iterable[int], shut: set[int],
-         roster: Roster) -> dict[int, tuple[int, str]]:
-    """A table as clients see it: weight and health by node. `leaving`: nodes that drain and lost their line."""
+def seen(
+    lines: Mapping[int, float], leaving: Iterable[int], shut: set[int], roster: Roster
+) -> dict[int, tuple[int, str]]:
+    """A table as clients see it: weight and health by node. `leaving`: draining nodes without a line."""
     weights = whole_numbers(lines)
-    found = {place: (weight, told) for place, weight in weights.items()
-             if (told := health(place in shut, roster.state(place)))}
+    found = {
+        place: (weight, told)
+        for place, weight in weights.items()
+        if (told := health(place in shut, roster.state(place)))
+    }
     return found | {place: (1, DRAINING) for place in leaving if place not in weights}
 
 
@@ -134,8 +147,9 @@
 
 
 def dropped(level: float, by_rate: bool, rate: float) -> int:
-    """What a client turns away, in a million. A level that is a rate becomes a share of what comes to a client in the
-    mean, as xDS knows no rate of a cluster; where nothing is known to come, nothing is turned away.
+    """What a client turns away, in a million. A level that is a rate becomes a share of what comes to a
+    client in the mean, as xDS knows no rate of a cluster; where nothing is known to come, nothing is turned
+    away.
 
     >>> dropped(0.75, False, 0), dropped(30.0, True, 40.0), dropped(1e6, True, 40.0), dropped(0.1, True, 0.0)
     (250000, 250000, 0, 0)
@@ -145,8 +159,8 @@
 
 
 def route(kind: str, req: our.ReqKind, tries: int) -> Route:
-    """The try-again rule as far as xDS carries it. A kind that may not run twice is offered none, not even after
-    proof that it never ran, since who reads the proof is not ours; a uniqued one is offered only that.
+    """The try-again rule as far as xDS carries it. A kind that may not run twice is offered none, not even
+    after proof that it never ran, since who reads the proof is not ours; a uniqued one is offered only that.
 
     >>> route("fee", our.ReqKind(), our.TWO_AFTER_ANY)
     Route(kind='fee', retries=0, after='')
@@ -157,12 +171,14 @@
         return Route(kind, 0, "")
     if tries == our.AFTER_PROOF or req.repeat == our.UNIQUED:
         return Route(kind, 1, "connect-failure,refused-stream")
-    return Route(kind, 2 if tries == our.TWO_AFTER_ANY else 1, "5xx,reset,connect-failure,refused-stream,unavailable")
+    return Route(
+        kind, 2 if tries == our.TWO_AFTER_ANY else 1, "5xx,reset,connect-failure,refused-stream,unavailable"
+    )
 
 
 def distinct(endpoints: Iterable[Endpoint]) -> tuple[Endpoint, ...]:
-    """In order of names, an address once: clients refuse a list with one twice. Of two nodes the healthy one stays, as
-    the other is a former life at the same place."""
+    """In order of names, an address once: clients refuse a list with one twice. Of two nodes the healthy one
+    stays, as the other is a former life at the same place."""
     kept: dict[tuple[str, int], Endpoint] = {}
     for one in sorted(endpoints, key=lambda one: (one.health != HEALTHY, one.name)):
         kept.setdefault((one.host, one.port), one)
--- a/oatcart/yaml_files.py
+++ b/oatcart/yaml_files.py
@@ -1,6 +1,7 @@
 """YAML files of operators, read and checked: every error names file, line and field, all errors at once.
 
-Times bear a unit (`250ms`, `2s`, `1m`), sizes too (`64KiB`, `1GiB`). Unknown keys are errors, with the nearest known one.
+Times bear a unit (`250ms`, `2s`, `1m`), sizes too (`64KiB`, `1GiB`). Unknown keys are errors, with the
+nearest known one.
 """
 
 import re
@@ -43,6 +44,7 @@
         if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
             raise ValueError(f"{value} is not a whole number from {least} to {most}")
         return value
+
     return turn
 
 
@@ -85,7 +87,9 @@
     return int(found[1]) * SIZES[found[2]]
 
 
-def table(told: object, fields: dict, at: str, where: Callable[[int], str], wrong: list[str], line: int) -> dict:
+def table(
+    told: object, fields: dict, at: str, where: Callable[[int], str], wrong: list[str], line: int
+) -> dict:
     if not isinstance(told, CommentedMap):
         wrong.append(f"{where(line)}: {at or 'the file'} is no table of keys")
         return {}
@@ -107,6 +111,7 @@
 
 def load(path: str | Path) -> tuple[object, Callable[[int], str]]:
     """What stands in a file, and how a line of it is named; raises Wrong."""
+
     def where(line: int) -> str:
         return f"{path}:{line + 1}"
 
--- a/tests/proxy/test_pools.py
+++ b/tests/proxy/test_pools.py
@@ -108,7 +108,9 @@
         assert self.pool.ask(self.now, 0, self.now + 9).do == REFUSE
 
 
-Machine.TestCase.settings = settings(max_examples=150, stateful_step_count=40, deadline=None, derandomize=True)
+Machine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
 TestMachine = Machine.TestCase
 
 
--- a/tests/proxy/test_proxy.py
+++ b/tests/proxy/test_proxy.py
@@ -1,4 +1,6 @@
-"""The proxy's decisions: tables in parts, two draws, levels, tries with an effect ledger, and life when cut off."""
+"""The proxy's decisions: tables in parts, two draws, levels, tries with an effect ledger, and life when cut
+off.
+"""
 
 from collections import Counter
 from random import Random
@@ -29,16 +31,31 @@
     one.part({"eject": ["b"]}, LISTED)
     assert one.open_lines("lookup") == {"a": 2.0}
     one.part({"full": True, "routes": ["fee"], "endpoints": [["b", 1]]}, LISTED)
-    assert one.open_lines("fee") == {} and one.by_kind["fee"].level == 1.0  # a whole table forgets levels, not who is out
+    # a whole table forgets levels, not who is out
+    assert one.open_lines("fee") == {} and one.by_kind["fee"].level == 1.0
     one.part({"restore": ["b"]}, LISTED)
     assert one.open_lines("fee") == {"b": 1.0}
 
 
-@pytest.mark.parametrize("part", [
-    {"routes": ["nobody"]}, {"endpoints": [["z", 1]]}, {"endpoints": [["a", -1]]}, {"endpoints": [["a"]]},
-    {"endpoints": [["a", float("nan")]]}, {"endpoints": 3}, {"eject": ["z"]}, {"admit": 0.5}, {"policy": 1},
-    {"admit": -0.1, "policy": 1}, {"admit": 1, "policy": 4}, {"admit": 1, "policy": True}, {"nonce_out": -1},
-    {"nonce_out": "x"}])
+@pytest.mark.parametrize(
+    "part",
+    [
+        {"routes": ["nobody"]},
+        {"endpoints": [["z", 1]]},
+        {"endpoints": [["a", -1]]},
+        {"endpoints": [["a"]]},
+        {"endpoints": [["a", float("nan")]]},
+        {"endpoints": 3},
+        {"eject": ["z"]},
+        {"admit": 0.5},
+        {"policy": 1},
+        {"admit": -0.1, "policy": 1},
+        {"admit": 1, "policy": 4},
+        {"admit": 1, "policy": True},
+        {"nonce_out": -1},
+        {"nonce_out": "x"},
+    ],
+)
 def test_what_cannot_be_used_takes_no_effect_with_all_its_parts(part):
     one = Tables(["lookup"])
     one.part({"full": True, "endpoints": [["a", 1]]}, LISTED)
@@ -88,15 +105,23 @@
     one = Admission(Random(2).uniform)
     denied = [found for _ in range(10_000) if (found := one.by_share(0.3))]
     assert abs(len(denied) - 7000) < 250 and {found.status for found in denied} == {OVERLOADED}
-    assert min(found.retry_after for found in denied) >= 1 and len({found.retry_after for found in denied}) > 1
+    assert (
+        min(found.retry_after for found in denied) >= 1 and len({found.retry_after for found in denied}) > 1
+    )
     assert one.by_share(1.0) is None and one.by_share(0.0).retry_after == 30
     came = [one.by_rate(at / 100, "lookup", 20.0) for at in range(1000)]  # ten seconds of 100 a second
     assert 200 <= came.count(None) <= 221 and {found.status for found in came if found} == {TOO_MANY}
     assert one.by_rate(10.0, "fee", 0.0) is None and one.by_rate(10.0, "fee", 0.0).retry_after == 30
 
 
-ENDINGS = st.builds(Try, st.sampled_from(list(Ending)), st.sampled_from([0, 1, 500]), st.booleans(),
-                    st.sampled_from([0, 0, 9]), st.sampled_from(["", "east", "west"]))
+ENDINGS = st.builds(
+    Try,
+    st.sampled_from(list(Ending)),
+    st.sampled_from([0, 1, 500]),
+    st.booleans(),
+    st.sampled_from([0, 0, 9]),
+    st.sampled_from(["", "east", "west"]),
+)
 
 
 def has_effect(one, ran):
@@ -104,11 +129,16 @@
     return ran and not never_ran(one)
 
 
-@given(st.sampled_from([our.REPLAYABLE, our.UNIQUED, our.NON_REPLAYABLE]), st.sampled_from(range(4)),
-       st.lists(st.tuples(ENDINGS, st.booleans(), st.floats(0.0, 0.5)), min_size=1, max_size=8))
+@given(
+    st.sampled_from([our.REPLAYABLE, our.UNIQUED, our.NON_REPLAYABLE]),
+    st.sampled_from(range(4)),
+    st.lists(st.tuples(ENDINGS, st.booleans(), st.floats(0.0, 0.5)), min_size=1, max_size=8),
+)
 @settings(max_examples=600, deadline=None, derandomize=True)
 def test_no_effect_twice_over_any_history(repeat, way, history):
-    """The ledger: a non-replayable req never takes effect twice, a uniqued one only at a site that knows its key."""
+    """The ledger: a non-replayable req never takes effect twice, a uniqued one only at a site that knows its
+    key.
+    """
     now, req, budget = 0.0, Req(repeat, 0.0, 3.0, 1.0), Budget(1.0, 100.0)
     effects, site = [], ""
     for failed, ran, took in history:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -9,8 +9,8 @@
 import struct
 
 from oatcart.net import codec as wire
-from oatcart.net.conductor import Rounds
 from oatcart.net.acceptor import KEPT_BACK, Acceptor
+from oatcart.net.conductor import Rounds
 from oatcart.net.log import Log
 from oatcart.net.loop import Loop
 from oatcart.net.probe import Prober
@@ -52,7 +52,9 @@
         watcher = Watcher(self.loop, self.codec, log, desk, 5.0, self.rounds.arrive)
         prober = Prober(self.loop, bool(cfg.get("reports", 1)), 0.25, watcher.addresses, self.rounds.arrive)
         self.rounds.start(self.round, watcher, prober)
-        self.acceptor = Acceptor(self.loop, log, self.codec, self.rounds, int(KEPT_BACK + cfg.get("room", 100)))
+        self.acceptor = Acceptor(
+            self.loop, log, self.codec, self.rounds, int(KEPT_BACK + cfg.get("room", 100))
+        )
         self.listener = self.acceptor.listen(("127.0.0.1", 0))
         self.woken, self.waker = socket.socketpair()
         self.woken.setblocking(False)
@@ -102,8 +104,16 @@
     def close(self):
         for task in set(self.loop.waiting.values()):
             self.loop.end(task)
-        for sock in (*self.ends.values(), *self.calls, *self.closed, self.desk, self.listener, self.woken, self.waker,
-                     self.loop.poll):
+        for sock in (
+            *self.ends.values(),
+            *self.calls,
+            *self.closed,
+            self.desk,
+            self.listener,
+            self.woken,
+            self.waker,
+            self.loop.poll,
+        ):
             sock.close()
 
     def line_from(self, name):
@@ -201,10 +211,12 @@
         elif do == "told":
             wanted = " ".join(words[1:])
             self.until(lambda: self.said and (wanted in self.said), line)
-            self.said = self.said[self.said.index(wanted) + 1:]
+            self.said = self.said[self.said.index(wanted) + 1 :]
         elif do == "untold":
             self.quiet()
-            assert not [one for one in self.said if one.startswith(" ".join(words[1:]))], f"{line}: {self.said}"
+            assert not [one for one in self.said if one.startswith(" ".join(words[1:]))], (
+                f"{line}: {self.said}"
+            )
         elif do == "order":
             self.ordered.append((name, [value(word) for word in rest]))
             self.rounds.due = True
@@ -224,13 +236,20 @@
             found = self.until(self.call, line)
             assert found == f"GET {name} HTTP/1.1", f"{line}: {found}"
         elif do == "answer":
-            body = json.dumps(self.listed(fields(rest))).encode() if "=" in "".join(rest) else " ".join(rest).encode()
-            self.calls[-1].sendall(b"HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n" % (name.encode(), len(body)) + body)
+            body = (
+                json.dumps(self.listed(fields(rest))).encode()
+                if "=" in "".join(rest)
+                else " ".join(rest).encode()
+            )
+            self.calls[-1].sendall(
+                b"HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n" % (name.encode(), len(body)) + body
+            )
         elif do == "babble":
             self.calls[-1].sendall(b"what?\r\n\r\n")
         elif do == "reply":
             self.calls[-1].sendall(raw(line.split(maxsplit=1)[1]))
-        elif do == "longreply":  # an answer of that revision and length, head and all, then another one behind it
+        # an answer of that revision and length, head and all, then another one behind it
+        elif do == "longreply":
             empty = json.dumps({"revision": int(name), "complete": False, "members": [], "pad": ""}).encode()
             head = b"HTTP/1.1 200 X\r\nContent-Length: %4d\r\n\r\n"
             pad = b"x" * (int(rest[0]) - len(head % 0) - len(empty))
@@ -259,14 +278,21 @@
         if not isinstance(table.get("members"), list):
             return table
         at = "{}:{}".format(*self.desk.getsockname())
-        return table | {"members": [
-            {"id": one[0], "host_port": at, "locality": one[1], "phase": one[2], "up_since_ms": one[3]}
-            if isinstance(one, list) else one for one in table["members"]]}
+        return table | {
+            "members": [
+                {"id": one[0], "host_port": at, "locality": one[1], "phase": one[2], "up_since_ms": one[3]}
+                if isinstance(one, list)
+                else one
+                for one in table["members"]
+            ]
+        }
 
 
 def play(text):
     """Play a scenario on sockets; the first line that is not met fails."""
-    lines = [line for part in text.splitlines() for line in (one.strip() for one in part.split("#")[0].split(";"))]
+    lines = [
+        line for part in text.splitlines() for line in (one.strip() for one in part.split("#")[0].split(";"))
+    ]
     cfg = {line.split()[1]: float(line.split()[2]) for line in lines if line.startswith("set ")}
     stage = Stage(cfg)
     try:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,4 +1,6 @@
-"""What crosses on real sockets and can't be written as a scenario; each was seen to fail with its mend taken out."""
+"""What crosses on real sockets and can't be written as a scenario; each was seen to fail with its mend taken
+out.
+"""
 
 import errno
 import socket
@@ -84,7 +86,9 @@
 
 
 def test_a_joining_that_lies_unread_at_a_strangers_deadline_is_read_first(monkeypatch):
-    """Failure: with more events than one turn takes, or a slow turn, the deadline came first and closed a proxy."""
+    """Failure: with more events than one turn takes, or a slow turn, the deadline came first and closed a
+    proxy.
+    """
     with ExitStack() as stack:
         one, [other] = stage_with(stack, [1])
         stranger, _ = dial_in(stack, one), dial_in(stack, one)
@@ -127,7 +131,9 @@
 
 
 def test_the_oldest_stranger_is_read_before_it_makes_way():
-    """Failure: where there was no room it was closed with its joining unread, and so might a whole fleet that dials be."""
+    """Failure: where there was no room it was closed with its joining unread, and so might a whole fleet that
+    dials be.
+    """
     with ExitStack() as stack:
         one, _ = stage_with(stack, room=2)
         oldest, next_one = dial_in(stack, one), dial_in(stack, one)
@@ -135,15 +141,18 @@
         oldest.sendall(JOINED % 1)  # behind the newest, so the acceptor's turn is first
         next_one.sendall(b'{"msg":"jo')
         one.quiet()
-        assert [*one.rounds.streams] == [1] and one.out.getvalue().count("a stranger gone: there was no room") == 1
+        assert [*one.rounds.streams] == [1] and one.out.getvalue().count(
+            "a stranger gone: there was no room"
+        ) == 1
         newest.sendall(JOINED % 2)
         one.quiet()
         assert [*one.rounds.streams] == [1, 2]
 
 
 def test_a_stream_that_cannot_be_written_to_is_gone_at_once(monkeypatch):
-    """Failure: after an error that is not the other side's the message was left out or cut, the stream stayed, and its
-    proxy took later changes on a table that it did not have; or its end was read after a further round had told it."""
+    """Failure: after an error that is not the other side's the message was left out or cut, the stream
+    stayed, and its proxy took later changes on a table that it did not have; or its end was read after a
+    further round had told it."""
     with ExitStack() as stack:
         one, [end, other] = stage_with(stack, [1, 2])
         for order in ("order line 0 1 20", "order bind 0 1 0", "order bind 0 2 0"):
@@ -161,7 +170,7 @@
                 sent.append(bytes(data))
                 if len(sent) == 2:
                     raise OSError(errno.ENOBUFS, "No buffer space available")
-                return sock.send(data[:len(data) // 2])
+                return sock.send(data[: len(data) // 2])
 
         sock, stream.sock = stream.sock, Short()
         one.turn()
@@ -172,12 +181,12 @@
         one.play("order line 0 0 5")
         one.quiet()
         assert len(sent) == 2 and b"n0" in other.recv(4096)
-        assert end.recv(4096) == sent[0][:len(sent[0]) // 2] and end.recv(4096) == b""
+        assert end.recv(4096) == sent[0][: len(sent[0]) // 2] and end.recv(4096) == b""
 
 
 def test_a_stream_that_breaks_as_it_is_told_has_left_before_the_next_round():
-    """Failure: the module heard of it when the end was read, after whatever else lay there; a round in between counted
-    its orders as told."""
+    """Failure: the module heard of it when the end was read, after whatever else lay there; a round in
+    between counted its orders as told."""
     with ExitStack() as stack:
         one, [end, _] = stage_with(stack, [1, 2])
         end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -190,8 +199,9 @@
 
 
 def test_floods_of_strangers_cost_a_rejoining_fleet_nothing():
-    """Silent, half-speaking, pinging and nonsensical strangers by the hundred, while sixty proxies dial and a call to
-    discovery is open: every proxy joins, every stranger is closed by its deadline, and descriptors stay under the limit."""
+    """Silent, half-speaking, pinging and nonsensical strangers by the hundred, while sixty proxies dial and a
+    call to discovery is open: every proxy joins, every stranger is closed by its deadline, and descriptors
+    stay under the limit."""
     with ExitStack() as stack:
         one, _ = stage_with(stack, room=80)
         one.play("order follow true")
--- a/tests/test_hand_overs.py
+++ b/tests/test_hand_overs.py
@@ -12,7 +12,9 @@
 
 
 class HeldByProxy:
-    """A proxy as the protocol has it: a full table forgets lines and levels of its kinds, all else changes them."""
+    """A proxy as the protocol has it: a full table forgets lines and levels of its kinds, all else changes
+    them.
+    """
 
     def __init__(self, shut=()):
         self.lines = [{} for _ in range(KINDS)]
@@ -51,18 +53,25 @@
     st.tuples(st.just("blank"), small(0, TABLES - 1)),
     st.tuples(st.just("bind"), small(0, TABLES - 1), small(0, PROXIES - 1), kinds),
     st.tuples(st.just("withdraw"), small(0, NODES - 1), st.booleans()),
-    st.tuples(st.just("admit"), st.sampled_from([*range(TABLES), our.ALL_TABLES]), kinds,
-              st.sampled_from([0.25, 0.5, 1.0]), st.sampled_from([our.NO_TRY, our.AFTER_PROOF, our.AFTER_ANY])),
+    st.tuples(
+        st.just("admit"),
+        st.sampled_from([*range(TABLES), our.ALL_TABLES]),
+        kinds,
+        st.sampled_from([0.25, 0.5, 1.0]),
+        st.sampled_from([our.NO_TRY, our.AFTER_PROOF, our.AFTER_ANY]),
+    ),
     st.tuples(st.just("joined"), small(0, PROXIES - 1), st.booleans()),
     st.tuples(st.just("left"), small(0, PROXIES - 1)),
-    st.tuples(st.just("told")))
+    st.tuples(st.just("told")),
+)
 
 
 @settings(derandomize=True, deadline=None, max_examples=300)
 @given(st.lists(steps, min_size=10, max_size=60))
 def test_what_a_proxy_was_told_is_what_stands(done):
-    """Joins thrice in a row, streams that end between the orders of a round, kinds bound anew: whoever is joined when a
-    round is told holds the tables it is bound to, with their levels, and is told of each of their nodes as it stands."""
+    """Joins thrice in a row, streams that end between the orders of a round, kinds bound anew: whoever is
+    joined when a round is told holds the tables it is bound to, with their levels, and is told of each of
+    their nodes as it stands."""
     tables, held = Tables(KINDS), {}
     for name, *fields in [*done, ("told",)]:
         if name == "told":
@@ -89,12 +98,31 @@
 arrivals = st.one_of(
     st.tuples(st.just("joined"), small(0, PROXIES - 1), small(0, 1), st.just(10.0), st.booleans()),
     st.tuples(st.just("left"), small(0, PROXIES - 1)),
-    st.tuples(st.just("listed"), st.booleans(), st.lists(
-        st.tuples(small(0, NODES - 1), small(0, 1), st.sampled_from([0.0, 5.0]), small(0, 2), st.just(1.0)), max_size=NODES)),
-    st.tuples(st.just("met"), small(0, NODES - 1), small(0, 1), st.just(1.0), st.sampled_from([0.05, 0.9]),
-              st.sampled_from([0, 3, 20]), st.just(20), st.just((None, 0.4, None))),
-    st.tuples(st.just("came"), small(0, PROXIES - 1), small(0, KINDS - 1), small(0, 400), st.just(0), st.just(1.0)),
-    st.tuples(st.just("applied"), small(0, PROXIES - 1), small(0, 30), st.just(0.1)))
+    st.tuples(
+        st.just("listed"),
+        st.booleans(),
+        st.lists(
+            st.tuples(
+                small(0, NODES - 1), small(0, 1), st.sampled_from([0.0, 5.0]), small(0, 2), st.just(1.0)
+            ),
+            max_size=NODES,
+        ),
+    ),
+    st.tuples(
+        st.just("met"),
+        small(0, NODES - 1),
+        small(0, 1),
+        st.just(1.0),
+        st.sampled_from([0.05, 0.9]),
+        st.sampled_from([0, 3, 20]),
+        st.just(20),
+        st.just((None, 0.4, None)),
+    ),
+    st.tuples(
+        st.just("came"), small(0, PROXIES - 1), small(0, KINDS - 1), small(0, 400), st.just(0), st.just(1.0)
+    ),
+    st.tuples(st.just("applied"), small(0, PROXIES - 1), small(0, 30), st.just(0.1)),
+)
 
 
 class Host(Tables):
@@ -107,17 +135,33 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=300)
-@given(st.lists(st.tuples(st.sampled_from([0.25, 0.5, 3.0]), st.lists(arrivals, max_size=6)), max_size=25), st.booleans())
+@given(
+    st.lists(st.tuples(st.sampled_from([0.25, 0.5, 3.0]), st.lists(arrivals, max_size=6)), max_size=25),
+    st.booleans(),
+)
 def test_only_what_may_run_again_is_tried_after_any_failure(rounds, by_rate):
-    """No order, full table, changed level or hand-over opens a moment in which a req runs again that may not: a kind that
-    is deduplicated only for a while, or not at all, is tried again on proof alone, so never outside its window by us."""
+    """No order, full table, changed level or hand-over opens a moment in which a req runs again that may not:
+    a kind that is deduplicated only for a while, or not at all, is tried again on proof alone, so never
+    outside its window by us."""
     host, held, now = Host(KINDS), {}, 10.0
-    one = Conductor(seed=1, kinds=[our.ReqKind(1, 1, repeat, home) for repeat, home in zip(REPEATS, (False, True, False))],
-                    roll=our.RollManners(), channel=our.ChannelLimits(1000, 4, 2000), cold=our.ColdLimits(),
-                    report_period=1.0, admitting=our.BY_RATE if by_rate else our.BY_SHARE, crossing_price=0.1,
-                    may_probe=True)
-    start = [("listed", True, [(node, node % 2, 0.0, our.READY, 1.0) for node in range(NODES)]),
-             ("joined", 0, 0, 10.0, True)]
+    one = Conductor(
+        seed=1,
+        kinds=[
+            our.ReqKind(1, 1, repeat, home)
+            for repeat, home in zip(REPEATS, (False, True, False), strict=True)
+        ],
+        roll=our.RollManners(),
+        channel=our.ChannelLimits(1000, 4, 2000),
+        cold=our.ColdLimits(),
+        report_period=1.0,
+        admitting=our.BY_RATE if by_rate else our.BY_SHARE,
+        crossing_price=0.1,
+        may_probe=True,
+    )
+    start = [
+        ("listed", True, [(node, node % 2, 0.0, our.READY, 1.0) for node in range(NODES)]),
+        ("joined", 0, 0, 10.0, True),
+    ]
     for gap, came in [(0.0, start), *rounds]:
         now += gap
         for name, *fields in came:  # as the net code has it: told of joins and ends as they come
@@ -130,6 +174,6 @@
         one.round(now, came, host)
         for proxy, parts in host.messages():
             for part in range(len(parts)):  # also if the rest of the message never comes
-                held[proxy].take(parts[part:part + 1])
+                held[proxy].take(parts[part : part + 1])
                 for kind, level in enumerate(held[proxy].levels):
                     assert level is None or level[1] <= our.AFTER_PROOF or REPEATS[kind] == our.REPLAYABLE
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -5,29 +5,78 @@
 from oatcart.simhost.host import Host
 
 SETTINGS = {
-    1: {"membershipMode": "automatic", "zones": ["a", "b"], "penalties": {"crossZone": 0.12}, "balancers": 2,
-        "grades": [{"name": "x", "aim": 500.0, "worth": 1.0, "idempotency": "idempotent"},
-                   {"name": "y", "aim": 900.0, "worth": 5.0, "idempotency": "at_most_once"}],
+    1: {
+        "membershipMode": "automatic",
+        "zones": ["a", "b"],
+        "penalties": {"crossZone": 0.12},
+        "balancers": 2,
+        "grades": [
+            {"name": "x", "aim": 500.0, "worth": 1.0, "idempotency": "idempotent"},
+            {"name": "y", "aim": 900.0, "worth": 5.0, "idempotency": "at_most_once"},
+        ],
         "rules": {"cold": 17000.0, "coldShare": 0.2, "tipMultiple": 4.0, "stopSendingWithin": 3000.0},
-        "specifics": {"pushRate": 300.0, "envelope": 4.0, "queueCap": 450.0, "messagesMost": 12, "updateWindow": 10000.0,
-                      "admit": "fraction", "period": 1000.0, "proxyCount": 6, "zoneBound": [False, True]}},
-    2: {"membershipMode": "subscribe", "zones": ["c", "d", "e"], "weights": "on", "balancers": 1,
+        "specifics": {
+            "pushRate": 300.0,
+            "envelope": 4.0,
+            "queueCap": 450.0,
+            "messagesMost": 12,
+            "updateWindow": 10000.0,
+            "admit": "fraction",
+            "period": 1000.0,
+            "proxyCount": 6,
+            "zoneBound": [False, True],
+        },
+    },
+    2: {
+        "membershipMode": "subscribe",
+        "zones": ["c", "d", "e"],
+        "weights": "on",
+        "balancers": 1,
         "grades": [{"name": "z", "aim": 2000.0, "worth": 2.0, "idempotency": "deduplicated"}],
-        "rules": {"stopSendingWithin": 9000.0}, "report": {"fields": ["load_share"]}, "policyLimits": {"probes": True},
-        "specifics": {"pushRate": 4000.0, "envelope": 1.0, "queueCap": 9000.0, "admit": "per_second", "period": 250.0,
-                      "proxyCount": 90}},
+        "rules": {"stopSendingWithin": 9000.0},
+        "report": {"fields": ["load_share"]},
+        "policyLimits": {"probes": True},
+        "specifics": {
+            "pushRate": 4000.0,
+            "envelope": 1.0,
+            "queueCap": 9000.0,
+            "admit": "per_second",
+            "period": 250.0,
+            "proxyCount": 90,
+        },
+    },
 }
 
 
 def came(inst, turn):
     """What comes to an instance in one batch: joins, a list with a node that fails, sums, marks, an end."""
-    nodes = [(node, node % 2, 0.0 if node % 3 else 3000.0, 1 + (turn > 20 and node == 4), 0, 1.0 + inst, 0)
-             for node in range(6)]
+    nodes = [
+        (node, node % 2, 0.0 if node % 3 else 3000.0, 1 + (turn > 20 and node == 4), 0, 1.0 + inst, 0)
+        for node in range(6)
+    ]
     records = [("listed", inst, 2, 0, nodes)] if turn % 7 == 0 else []
-    records += [("joined", inst, proxy % 2, proxy, proxy % 2, 12.0 * inst) for proxy in range(6) if turn == proxy]
-    records += [("met", inst, 1000.0, 40.0 + 90.0 * node * inst, (turn + node) % 4 * inst, 12, node, node % 2, (0.3 * node,))
-                for node in range(6) if turn % 2]
-    records += [("came", inst, turn % 6, 0, 30 * turn, 0, 1000.0), ("applied", inst, turn % 6, turn // 2, 100.0)]
+    records += [
+        ("joined", inst, proxy % 2, proxy, proxy % 2, 12.0 * inst) for proxy in range(6) if turn == proxy
+    ]
+    records += [
+        (
+            "met",
+            inst,
+            1000.0,
+            40.0 + 90.0 * node * inst,
+            (turn + node) % 4 * inst,
+            12,
+            node,
+            node % 2,
+            (0.3 * node,),
+        )
+        for node in range(6)
+        if turn % 2
+    ]
+    records += [
+        ("came", inst, turn % 6, 0, 30 * turn, 0, 1000.0),
+        ("applied", inst, turn % 6, turn // 2, 100.0),
+    ]
     return records + ([("left", inst, 3)] if turn == 30 else [])
 
 
@@ -42,6 +91,8 @@
 
 def test_instances_with_other_settings_decide_as_each_alone():
     both, one, two = played(1, 2), played(1), played(2)
-    assert [(n + m, here + there) for (n, here), (m, there) in zip(one, two)] == both
-    assert all(sum(n for n, _ in alone) > 80 and b"Error" not in b"".join(orders for _, orders in alone)
-               for alone in (one, two))
+    assert [(n + m, here + there) for (n, here), (m, there) in zip(one, two, strict=False)] == both
+    assert all(
+        sum(n for n, _ in alone) > 80 and b"Error" not in b"".join(orders for _, orders in alone)
+        for alone in (one, two)
+    )
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -18,9 +18,9 @@
 import stage
 
 from oatcart import interface as our
+from oatcart.net.acceptor import NO_ROOM_WAIT
 from oatcart.net.codec import Codec
 from oatcart.net.conductor import Rounds
-from oatcart.net.acceptor import NO_ROOM_WAIT
 from oatcart.net.ending import Ended, Ending
 from oatcart.net.log import Log
 from oatcart.net.loop import Loop
@@ -31,9 +31,22 @@
 HERE = Path(__file__).parent
 SCENARIOS = sorted((HERE / "scenarios").glob("*.txt")) + sorted((HERE / "sockets").glob("*.txt"))
 REPEATS = {"replayable": our.REPLAYABLE, "uniqued": our.UNIQUED, "non-replayable": our.NON_REPLAYABLE}
-PLAIN = {"must_ask": 0, "line_rate": 1000, "head": 4, "queue_most": 2000, "messages_most": 0, "messages_over": 10,
-         "warm_after": 16, "share_at_start": 0.2, "fall_multiple": 4, "crossing_price": 0,
-         "may_probe": 1, "nominal_told": 0, "rate": 0, "grace": 1e9}
+PLAIN = {
+    "must_ask": 0,
+    "line_rate": 1000,
+    "head": 4,
+    "queue_most": 2000,
+    "messages_most": 0,
+    "messages_over": 10,
+    "warm_after": 16,
+    "share_at_start": 0.2,
+    "fall_multiple": 4,
+    "crossing_price": 0,
+    "may_probe": 1,
+    "nominal_told": 0,
+    "rate": 0,
+    "grace": 1e9,
+}
 COMPARE = {"=": operator.eq, "<": operator.lt, ">": operator.gt}
 
 
@@ -83,12 +96,23 @@
 
 def conductor(kinds, cfg):
     """A conductor with the plain settings and what a scenario sets."""
-    pick = lambda record: record(**{name: cfg[name] for name in record._fields if name in cfg})
-    return Conductor(seed=1, kinds=kinds or [our.ReqKind(1, 1, our.REPLAYABLE)], roll=pick(our.RollManners),
-                     channel=pick(our.ChannelLimits), cold=pick(our.ColdLimits), report_period=1.0,
-                     admitting=our.BY_RATE if cfg["rate"] else our.BY_SHARE,
-                     crossing_price=cfg["crossing_price"], may_probe=bool(cfg["may_probe"]), grace=cfg["grace"],
-                     usual_proxies=0)
+
+    def pick(record):
+        return record(**{name: cfg[name] for name in record._fields if name in cfg})
+
+    return Conductor(
+        seed=1,
+        kinds=kinds or [our.ReqKind(1, 1, our.REPLAYABLE)],
+        roll=pick(our.RollManners),
+        channel=pick(our.ChannelLimits),
+        cold=pick(our.ColdLimits),
+        report_period=1.0,
+        admitting=our.BY_RATE if cfg["rate"] else our.BY_SHARE,
+        crossing_price=cfg["crossing_price"],
+        may_probe=bool(cfg["may_probe"]),
+        grace=cfg["grace"],
+        usual_proxies=0,
+    )
 
 
 def entry(word):
@@ -121,7 +145,13 @@
         case ["ack", proxy]:
             return "applied", int(proxy), orders.mark_now, 0.1
         case ["probe", node, outcome]:
-            return "probed", int(node), our.ANSWERED if outcome == "ok" else our.SILENT, 0.1, (None, None, None)
+            return (
+                "probed",
+                int(node),
+                our.ANSWERED if outcome == "ok" else our.SILENT,
+                0.1,
+                (None, None, None),
+            )
         case ["unlisted"]:
             return ("unlisted",)
     raise ValueError(" ".join(words))
@@ -137,7 +167,7 @@
             now = float(words[1])
         if words[:1] == ["until"]:
             end = lines.index(["end"])
-            body, lines = lines[:end], lines[end + 1:]
+            body, lines = lines[:end], lines[end + 1 :]
             while now < float(words[1]):
                 now += float(words[3])
                 out += [["at", str(now)], *body]
@@ -163,7 +193,9 @@
                 cfg[name] = float(value)
             case ["kind", value, target, repeat, *rest]:
                 zones = tuple(map(int, rest[1].split(","))) if rest[:1] == ["zones"] else ()
-                kinds.append(our.ReqKind(float(value), float(target), REPEATS[repeat], rest == ["home"], zones))
+                kinds.append(
+                    our.ReqKind(float(value), float(target), REPEATS[repeat], rest == ["home"], zones)
+                )
             case ["at", time]:
                 run()
                 now, told = float(time), []
@@ -172,7 +204,8 @@
             case ["want" | "deny" | "table" | "size" | "holders", *_]:
                 run()
                 checked = True
-                if words[0] in ("size", "holders"):  # standing lines of a table, tables with a line for a node
+                # standing lines of a table, tables with a line for a node
+                if words[0] in ("size", "holders"):
                     standing = [at for at, weight in orders.tables.items() if weight]
                     found = [sum(at[words[0] == "holders"] == int(words[1][1:]) for at in standing)]
                     words = ["want", *words]
@@ -198,11 +231,13 @@
 
 
 def test_a_list_told_to_come_unasked_is_watched_on_sockets():
-    """Failure: where the settings say that changes arrive by themselves nobody asked discovery, and no drain was heard."""
+    """Failure: where the settings say that changes arrive by themselves nobody asked discovery, and no drain
+    was heard.
+    """
     cfg = json.loads((HERE.parent / "examples" / "config.json").read_text())
     woken, waker = socket.socketpair()
     with socket.create_server(("127.0.0.1", 0)) as desk, woken, waker:
-        cfg |= {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:{}".format(desk.getsockname()[1])}
+        cfg |= {"listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{desk.getsockname()[1]}"}
         cfg["settings"]["membershipMode"] = "automatic"
         loop, _, acceptor = assemble(cfg, woken)
         desk.settimeout(5)
@@ -216,8 +251,8 @@
 
 @pytest.mark.parametrize("clock", [100.0, 100.001, 615.3, 4096.1])
 def test_the_first_round_is_due_at_once(clock):
-    """Failure: at most times a clock less the gap, taken from that clock, was under the gap by a rounding, and what a
-    conductor decides at its start, to watch the list, waited for something else to happen."""
+    """Failure: at most times a clock less the gap, taken from that clock, was under the gap by a rounding,
+    and what a conductor decides at its start, to watch the list, waited for something else to happen."""
     loop, came = Loop(lambda: clock, lambda error: None), []
     log = Log(loop.clock, io.StringIO())
     rounds = Rounds(loop, log, Codec(["lookup"], ["a"], 4), 0.002, 1000.0)
@@ -289,17 +324,35 @@
     one.close()
 
 
-CONFIG = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f", "peers": [],
-          "limits": {"sockets": 256}, "known": {"revision": 1, "complete": True, "members": []},
-          "settings": {"grades": [{"name": "lookup", "aim": 500.0}], "zones": ["a"], "quantum": 2.0,
-                       "specifics": {"proxyCount": 4, "pushRate": 1000.0, "period": 1000.0},
-                       "membershipMode": "subscribe"}}
+CONFIG = {
+    "name": "n0",
+    "listen": "127.0.0.1:0",
+    "discovery": "127.0.0.1:1",
+    "seed": "8c1f",
+    "peers": [],
+    "limits": {"sockets": 256},
+    "known": {"revision": 1, "complete": True, "members": []},
+    "settings": {
+        "grades": [{"name": "lookup", "aim": 500.0}],
+        "zones": ["a"],
+        "quantum": 2.0,
+        "specifics": {"proxyCount": 4, "pushRate": 1000.0, "period": 1000.0},
+        "membershipMode": "subscribe",
+    },
+}
 
 
 def start(folder, **changes):
-    (folder / "cfg").write_text(json.dumps({key: val for key, val in (CONFIG | changes).items() if val is not None}))
-    return subprocess.Popen([sys.executable, "-m", "oatcart"], cwd=HERE.parent, stderr=subprocess.PIPE, text=True,
-                            env=os.environ | {"EDGE_CONFIG": str(folder / "cfg")})
+    (folder / "cfg").write_text(
+        json.dumps({key: val for key, val in (CONFIG | changes).items() if val is not None})
+    )
+    return subprocess.Popen(
+        [sys.executable, "-m", "oatcart"],
+        cwd=HERE.parent,
+        stderr=subprocess.PIPE,
+        text=True,
+        env=os.environ | {"EDGE_CONFIG": str(folder / "cfg")},
+    )
 
 
 @pytest.mark.parametrize("end", [signal.SIGTERM, signal.SIGINT])
@@ -320,15 +373,21 @@
 
 
 def test_sighup_reads_the_configuration_again(tmp_path):
-    """Failure: SIGHUP ended the process. What cannot be used, or not be changed, is said; it goes on either way."""
+    """Failure: SIGHUP ended the process. What cannot be used, or not be changed, is said; it goes on either
+    way.
+    """
     with start(tmp_path) as one:
         assert "start: n0 listens" in one.stderr.readline()
         other = CONFIG["settings"] | {"quantum": 3.0}
-        for text, said in (json.dumps(CONFIG | {"discovery": "127.0.0.1:2", "settings": other}),
-                           "discovery at 127.0.0.1:2, 256 descriptors; only a restart changes settings"), \
-                          ('{"discovery": ', "EDGE_CONFIG cannot be used"), \
-                          (json.dumps(CONFIG | {"listen": "127.0.0.1:1"}), "listen cannot be used: '127.0.0.1:1' is not"), \
-                          (json.dumps(CONFIG), "discovery at 127.0.0.1:1, 256 descriptors\n"):
+        for text, said in (
+            (
+                json.dumps(CONFIG | {"discovery": "127.0.0.1:2", "settings": other}),
+                "discovery at 127.0.0.1:2, 256 descriptors; only a restart changes settings",
+            ),
+            ('{"discovery": ', "EDGE_CONFIG cannot be used"),
+            (json.dumps(CONFIG | {"listen": "127.0.0.1:1"}), "listen cannot be used: '127.0.0.1:1' is not"),
+            (json.dumps(CONFIG), "discovery at 127.0.0.1:1, 256 descriptors\n"),
+        ):
             assert said in reloaded(one, tmp_path, text)
         one.send_signal(signal.SIGHUP)
         one.send_signal(signal.SIGTERM)
@@ -337,7 +396,9 @@
 
 @pytest.mark.parametrize("text", ["", "[1]", "[" * 100000])
 def test_a_file_that_cannot_be_read_leaves_the_next_one_to_be_taken(tmp_path, text):
-    """Failure: nesting without end was an error of another kind; it ended the task that takes files in, for good."""
+    """Failure: nesting without end was an error of another kind; it ended the task that takes files in, for
+    good.
+    """
     with start(tmp_path) as one:
         assert "start: n0 listens" in one.stderr.readline()
         assert "EDGE_CONFIG cannot be used" in reloaded(one, tmp_path, text)
@@ -348,7 +409,9 @@
 
 @pytest.mark.parametrize("field", ["name", "listen"])
 def test_a_file_of_another_deployment_is_refused_whole(tmp_path, monkeypatch, field):
-    """Failure: another conductor's discovery and descriptors were taken in, and its name and address only told of."""
+    """Failure: another conductor's discovery and descriptors were taken in, and its name and address only
+    told of.
+    """
     woken, waker = socket.socketpair()
     woken.setblocking(False)
     monkeypatch.setenv("EDGE_CONFIG", str(tmp_path / "cfg"))
@@ -357,8 +420,10 @@
         with acceptor.listener:
             before = rounds.watcher.discovery, loop.open_most
             other = CONFIG | {"discovery": "127.0.0.1:2", "limits": {"sockets": 300}}
-            for text, found in ((other | {field: "127.0.0.9:9"}, before),
-                                (other, (("127.0.0.1", 2), 300 - stage.KEPT_BACK))):
+            for text, found in (
+                (other | {field: "127.0.0.9:9"}, before),
+                (other, (("127.0.0.1", 2), 300 - stage.KEPT_BACK)),
+            ):
                 (tmp_path / "cfg").write_text(json.dumps(text))
                 waker.send(b"\x01")
                 for _ in range(stage.QUIET):
@@ -373,30 +438,54 @@
         woken, waker = socket.socketpair()
         with woken, waker:
             cfg = {key: value for key, value in CONFIG.items() if key != "known"}
-            loop, _, acceptor = assemble(cfg | {"discovery": "127.0.0.1:{}".format(desk.getsockname()[1])}, woken)
+            loop, _, acceptor = assemble(cfg | {"discovery": f"127.0.0.1:{desk.getsockname()[1]}"}, woken)
             with acceptor.listener:
                 desk.accept()[0].close()
 
 
-@pytest.mark.parametrize("field, value", [
-    ("listen", None), ("listen", "nowhere"), ("listen", "192.0.2.1:5000"), ("seed", "?"), ("discovery", "a:b"),
-    ("settings", 3), ("settings", {"grades": 1}), ("known", {}), ("limits", {})])
+@pytest.mark.parametrize(
+    "field, value",
+    [
+        ("listen", None),
+        ("listen", "nowhere"),
+        ("listen", "192.0.2.1:5000"),
+        ("seed", "?"),
+        ("discovery", "a:b"),
+        ("settings", 3),
+        ("settings", {"grades": 1}),
+        ("known", {}),
+        ("limits", {}),
+    ],
+)
 def test_what_cannot_be_used_is_named(tmp_path, field, value):
     with start(tmp_path, **{field: value}) as one:
         said = one.stderr.read()
         assert one.wait(10) == 2 and said.startswith(f"config: {field} ") and said.count("\n") == 1, said
 
 
-@pytest.mark.parametrize("part, field, named", [
-    ("specifics", "pushRate", "specifics.pushRate"), ("specifics", "period", "specifics.period"),
-    ("specifics", "proxyCount", "proxyCount"), ("grades", "aim", "grades[0].aim")])
+@pytest.mark.parametrize(
+    "part, field, named",
+    [
+        ("specifics", "pushRate", "specifics.pushRate"),
+        ("specifics", "period", "specifics.period"),
+        ("specifics", "proxyCount", "proxyCount"),
+        ("grades", "aim", "grades[0].aim"),
+    ],
+)
 def test_a_figure_that_nothing_can_stand_in_for_is_named(tmp_path, part, field, named):
-    """Failure: a channel of 1,000 lines a second, sums each second and a target of 1 s were taken, of some other deployment."""
+    """Failure: a channel of 1,000 lines a second, sums each second and a target of 1 s were taken, of some
+    other deployment.
+    """
     settings = json.loads(json.dumps(CONFIG["settings"]))
     del (settings[part][0] if part == "grades" else settings[part])[field]
     with start(tmp_path, settings=settings) as one:
         said = one.stderr.read()
-        assert one.wait(10) == 2 and said.startswith("config: settings ") and named in said and said.count("\n") == 1
+        assert (
+            one.wait(10) == 2
+            and said.startswith("config: settings ")
+            and named in said
+            and said.count("\n") == 1
+        )
 
 
 def test_same_events_same_orders():
@@ -404,9 +493,13 @@
     for _ in range(2):
         one, orders = conductor([], PLAIN), Orders()
         for turn in range(40):
-            met = [("met", node, 0, 1.0, 0.1 + node / 50, turn % 3, 10, (node + turn % 5, None, None))
-                   for node in range(8)]
+            met = [
+                ("met", node, 0, 1.0, 0.1 + node / 50, turn % 3, 10, (node + turn % 5, None, None))
+                for node in range(8)
+            ]
             roll = [("listed", True, [(node, node % 2, 0.0, our.READY, 1.0) for node in range(8)])]
-            one.round(turn / 2, [*(roll if turn % 9 == 0 else []), ("joined", turn % 4, 0, 1.0, True), *met], orders)
+            one.round(
+                turn / 2, [*(roll if turn % 9 == 0 else []), ("joined", turn % 4, 0, 1.0, True), *met], orders
+            )
         said.append(orders.said)
     assert said[0] == said[1] and len(said[0]) > 100
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,4 +1,6 @@
-"""Signals at the points of a conductor's life where they cross something: struck by the process itself, so never by chance."""
+"""Signals at the points of a conductor's life where they cross something: struck by the process itself, so
+never by chance.
+"""
 
 import json
 import os
@@ -49,8 +51,13 @@
 
 def struck(folder, point, number):
     (folder / "cfg").write_text(json.dumps(CONFIG))
-    return subprocess.Popen([sys.executable, "-c", STRUCK, point, str(int(number))], cwd=HERE.parent, text=True,
-                            stderr=subprocess.PIPE, env=os.environ | {"EDGE_CONFIG": str(folder / "cfg")})
+    return subprocess.Popen(
+        [sys.executable, "-c", STRUCK, point, str(int(number))],
+        cwd=HERE.parent,
+        text=True,
+        stderr=subprocess.PIPE,
+        env=os.environ | {"EDGE_CONFIG": str(folder / "cfg")},
+    )
 
 
 @pytest.mark.parametrize("point", POINTS)
@@ -62,10 +69,14 @@
 
 @pytest.mark.parametrize("point", POINTS)
 def test_told_to_read_again_at_any_point_it_starts_and_reads_once(tmp_path, point):
-    """Before the file is read first there is nothing to read again; from then on it is, once the conductor serves."""
+    """Before the file is read first there is nothing to read again; from then on it is, once the conductor
+    serves.
+    """
     with struck(tmp_path, point, signal.SIGHUP) as one:
         assert "start: n0 listens" in one.stderr.readline()
-        while point != "an import" and not one.stderr.readline().startswith("reload: discovery at 127.0.0.1:1"):
+        while point != "an import" and not one.stderr.readline().startswith(
+            "reload: discovery at 127.0.0.1:1"
+        ):
             assert one.poll() is None
         one.send_signal(signal.SIGTERM)
         assert one.wait(10) == 0 and "reload" not in one.stderr.read()
--- a/tests/test_variants.py
+++ b/tests/test_variants.py
@@ -4,7 +4,7 @@
 
 from deploy.sites import variants
 
-SITE = '''name = "one"
+SITE = """name = "one"
 [net]
 zones = ["a"]
 [[tier.kind]]
@@ -16,13 +16,20 @@
 [[class]]
 name = "write"
 share = [0.4, 0.5]
-'''
+"""
 
 
 def test_changes_meet_their_section_alone(monkeypatch):
-    changes = {("net", "zones"): '["x", "y"]', ("kind big", "cores"): "9", ("class read", "share"): None, "more": "# end\n"}
+    changes = {
+        ("net", "zones"): '["x", "y"]',
+        ("kind big", "cores"): "9",
+        ("class read", "share"): None,
+        "more": "# end\n",
+    }
     monkeypatch.setattr(variants, "VARIANTS", {"two": changes})
-    assert variants.varied(SITE, "two") == '''name = "two"
+    assert (
+        variants.varied(SITE, "two")
+        == """name = "two"
 [net]
 zones = ["x", "y"]
 [[tier.kind]]
@@ -32,7 +39,8 @@
 name = "write"
 share = [0.4, 0.5]
 # end
-'''
+"""
+    )
 
 
 def test_a_change_that_meets_nothing_is_named(monkeypatch):
--- a/tests/trace/test_trace.py
+++ b/tests/trace/test_trace.py
@@ -14,12 +14,19 @@
 from oatcart.trace.writer import Store, Writer
 
 FLOAT = st.floats(allow_nan=False)
-MICROS = st.integers(-10 ** 14, 10 ** 14).map(lambda one: one / 1e6)
-INT = st.integers(-2 ** 63, 2 ** 63 - 1)
-ANY = st.recursive(st.none() | st.booleans() | INT | FLOAT | st.text(), lambda one: st.lists(one).map(tuple), max_leaves=8)
+MICROS = st.integers(-(10**14), 10**14).map(lambda one: one / 1e6)
+INT = st.integers(-(2**63), 2**63 - 1)
+ANY = st.recursive(
+    st.none() | st.booleans() | INT | FLOAT | st.text(), lambda one: st.lists(one).map(tuple), max_leaves=8
+)
 VALUES = {"us": MICROS, "int": INT, "float": FLOAT, "name": st.text(), "bytes": st.binary(), "any": ANY}
-RECORDS = st.lists(st.sampled_from(sorted(FIELDS)).flatmap(
-    lambda kind: st.tuples(st.just(kind), *(VALUES[how] for _, how in FIELDS[kind]))), min_size=1, max_size=30)
+RECORDS = st.lists(
+    st.sampled_from(sorted(FIELDS)).flatmap(
+        lambda kind: st.tuples(st.just(kind), *(VALUES[how] for _, how in FIELDS[kind]))
+    ),
+    min_size=1,
+    max_size=30,
+)
 
 
 @given(RECORDS)
@@ -28,7 +35,7 @@
     data = form.block(7, records)
     head = form.read_head(data)
     assert form.whole(data, 0, head) and head.number == 7 and head.count == len(records)
-    found, skipped = form.read_block(data[form.HEADER.size:])
+    found, skipped = form.read_block(data[form.HEADER.size :])
     assert [(one.kind, *one.fields.values()) for one in found] == records and not skipped
     assert head.first == min(one[1] for one in records) and head.last == max(one[1] for one in records)
 
@@ -113,7 +120,7 @@
         index, begin = trace.index, trace.begin
     spoilt = tmp_path / "spoilt"
     for at in range(len(data)):
-        spoilt.write_bytes(data[:at] + bytes([data[at] ^ 1 << at % 8]) + data[at + 1:])
+        spoilt.write_bytes(data[:at] + bytes([data[at] ^ 1 << at % 8]) + data[at + 1 :])
         if at < begin:
             with pytest.raises(form.Bad):
                 Trace(spoilt)
@@ -156,7 +163,7 @@
             self._use()
         except OSError:
             if self.part:
-                super().write(fd, data[:len(data) // 2])
+                super().write(fd, data[: len(data) // 2])
             raise
         super().write(fd, data)
 
@@ -246,7 +253,7 @@
     for turn in range(60):
         clock.now += 6
         for at in range(40):
-            one.put(req(clock.now, at, key=struct.pack("<Qd", at * 7919 ** 3, clock.now)))
+            one.put(req(clock.now, at, key=struct.pack("<Qd", at * 7919**3, clock.now)))
         one.work()
         if turn == 5:
             held = Trace(sorted(tmp_path.iterdir())[0])
@@ -278,11 +285,15 @@
 def test_a_reader_behind_and_a_reader_ahead():
     newer = {**FIELDS, REQ: (*FIELDS[REQ], ("colour", "name")), "ghost": (("at", "us"), ("what", "any"))}
     data = form.block(0, [(*req(1.0), "red"), ("ghost", 2.0, [1]), make(CLOCK, 3.0, 4.0, 0.0)], newer)
-    found, skipped = form.read_block(data[form.HEADER.size:])
-    assert [one.kind for one in found] == [REQ, CLOCK] and skipped == {"ghost": 1} and "colour" not in found[0].fields
+    found, skipped = form.read_block(data[form.HEADER.size :])
+    assert (
+        [one.kind for one in found] == [REQ, CLOCK]
+        and skipped == {"ghost": 1}
+        and "colour" not in found[0].fields
+    )
     older = {REQ: FIELDS[REQ][:-2]}
     data = form.block(0, [req(1.0)[:-2]], older)
-    assert form.read_block(data[form.HEADER.size:])[0][0].fields.keys() == dict(FIELDS[REQ][:-2]).keys()
+    assert form.read_block(data[form.HEADER.size :])[0][0].fields.keys() == dict(FIELDS[REQ][:-2]).keys()
     head = form.header({"a": 1})
     assert form.read_header(head) == ({"a": 1}, len(head))
     ahead = head[:8] + struct.pack("<H", form.VERSION + 1) + head[10:]
--- a/tests/xds/sim.py
+++ b/tests/xds/sim.py
@@ -1,6 +1,7 @@
 """The front and the real decision module without I/O: a clock that is handed in, peers that keep their view.
 
-A peer is an xDS client as published: it takes what comes in order, and answers at once, late or with a refusal.
+A peer is an xDS client as published: it takes what comes in order, and answers at once, late or with a
+refusal.
 """
 
 from collections import deque
@@ -13,7 +14,10 @@
 from oatcart.xds.limits import Budget, Gate
 from oatcart.xds.shelf import STEP_KEPT
 
-KINDS = [("lookup", our.ReqKind(1.0, 0.5, our.REPLAYABLE)), ("fee", our.ReqKind(3.0, 1.0, our.NON_REPLAYABLE))]
+KINDS = [
+    ("lookup", our.ReqKind(1.0, 0.5, our.REPLAYABLE)),
+    ("fee", our.ReqKind(3.0, 1.0, our.NON_REPLAYABLE)),
+]
 ZONES = ["a", "b"]
 STEP = 0.25  # s of a turn
 GRACE = 2.0  # s within which a drain stands in every view that is read
@@ -69,14 +73,26 @@
             self.names[kind].pop(name, None)
             self.held[kind].pop(name, None)
         self.names[kind] |= dict.fromkeys(names)
-        brought = {name: version for name, (version, _) in self.held[kind].items()} if first and self.delta else {}
+        brought = (
+            {name: version for name, (version, _) in self.held[kind].items()} if first and self.delta else {}
+        )
         told = names if self.delta else tuple(self.names[kind])
         if not self.delta and not nonce:
             nonce = self.nonces.get(kind, "")
             self.unanswered.pop(nonce, None)  # names asked for bear the last nonce, which answers it
-        self.stage.front.ask(self.stage.now, self.stream, Ask(
-            kind, tuple(told), tuple(unsubscribe), brought, nonce, refusal,
-            Node(self.id, ZONES[self.zone], self.shape)))
+        self.stage.front.ask(
+            self.stage.now,
+            self.stream,
+            Ask(
+                kind,
+                tuple(told),
+                tuple(unsubscribe),
+                brought,
+                nonce,
+                refusal,
+                Node(self.id, ZONES[self.zone], self.shape),
+            ),
+        )
 
     def drop(self):
         if self.stream is not None:
@@ -96,8 +112,11 @@
             self.ask(kind, nonce=nonce, refusal=refusal)
 
     def take(self, kind, push):
-        new = {name: (content.version, content.body) for name, content in push.items
-               if kind in (CLUSTER, MEMBER) or name in self.names[kind]}  # else it has let go of it meanwhile
+        new = {
+            name: (content.version, content.body)
+            for name, content in push.items
+            if kind in (CLUSTER, MEMBER) or name in self.names[kind]
+        }  # else it has let go of it meanwhile
         self.nonces[kind] = push.nonce
         self.pushed.append((self.stage.now, kind))
         refusal = None
@@ -113,14 +132,19 @@
         for name, content in push.items:
             self.check(kind, name, content)
         if not refusal:
-            assert all(name in self.held[CLUSTER] for name, _ in push.items if kind in (ENDPOINTS, ROUTE)), \
+            assert all(name in self.held[CLUSTER] for name, _ in push.items if kind in (ENDPOINTS, ROUTE)), (
                 "what builds on a cluster came before it"
+            )
         self.answers.append((kind, push.nonce, refusal))
         self.unanswered[push.nonce] = kind, push.urgent
         usual = [one for one, urgent in self.unanswered.values() if not urgent]
         assert len(usual) == len(set(usual)), f"{self.id}: two usual pushes in flight"
         if self.shape == view.EACH and kind == ENDPOINTS and not refusal:
-            wanted = {begins + "*": None for _, body in self.held[ENDPOINTS].values() for _, begins in body.collections}
+            wanted = {
+                begins + "*": None
+                for _, body in self.held[ENDPOINTS].values()
+                for _, begins in body.collections
+            }
             if wanted.keys() - self.names[MEMBER].keys():
                 self.ask(MEMBER, sorted(wanted))
 
@@ -142,8 +166,11 @@
         body = self.held[ENDPOINTS][kind][1]
         found = {one.name: (one.weight, one.health) for one in body.endpoints}
         for _, begins in body.collections:
-            found |= {member.endpoint.name: (member.endpoint.weight, member.endpoint.health)
-                      for name, (_, member) in self.held[MEMBER].items() if name.startswith(begins)}
+            found |= {
+                member.endpoint.name: (member.endpoint.weight, member.endpoint.health)
+                for name, (_, member) in self.held[MEMBER].items()
+                if name.startswith(begins)
+            }
         return found
 
 
@@ -162,12 +189,27 @@
         self.life += 1
         self.host = Host(self)
         self.module = Conductor(
-            seed=1, kinds=[req for _, req in KINDS], roll=our.RollManners(),
+            seed=1,
+            kinds=[req for _, req in KINDS],
+            roll=our.RollManners(),
             channel=our.ChannelLimits(100_000, 4, 100_000, MESSAGES, 10.0),
-            cold=our.ColdLimits(8.0, 0.2, 4.0), report_period=1.0, admitting=our.BY_SHARE, crossing_price=0.0,
-            may_probe=True)
-        self.front = Front(self.host, KINDS, ZONES, 8, new_life(self.life, 1), Gate(50, 3, 100, self.pushes),
-                           Budget(self.pushes), False, say=lambda kind, text: self.said.append(text))
+            cold=our.ColdLimits(8.0, 0.2, 4.0),
+            report_period=1.0,
+            admitting=our.BY_SHARE,
+            crossing_price=0.0,
+            may_probe=True,
+        )
+        self.front = Front(
+            self.host,
+            KINDS,
+            ZONES,
+            8,
+            new_life(self.life, 1),
+            Gate(50, 3, 100, self.pushes),
+            Budget(self.pushes),
+            False,
+            say=lambda kind, text: self.said.append(text),
+        )
         self.roster, self.picks = view.Roster(), {}
         self.sidecar = {}
         self.host.joined(SIDECAR, True)
@@ -234,8 +276,12 @@
                 for node in before - item.now.picks:
                     for stream, peer in self.peers_by_stream.items():
                         line = stream.lines.get(key[0])
-                        if line and stream.client and self.front.shelf(stream.client, key[0]) is shelf \
-                                and line.sent.get(name, -1) >= 0:
+                        if (
+                            line
+                            and stream.client
+                            and self.front.shelf(stream.client, key[0]) is shelf
+                            and line.sent.get(name, -1) >= 0
+                        ):
                             peer.owed.setdefault((key[0], name), {})[node] = item.now.seq, self.now
 
     def rules(self, peer):
@@ -245,14 +291,21 @@
                 healthy = [node for node, (_, health) in found.items() if health == view.HEALTHY]
                 if healthy:
                     peer.picked.add(name)
-                elif name in peer.picked and not peer.stalled and peer.stream is not None and not peer.refused:
+                elif (
+                    name in peer.picked and not peer.stalled and peer.stream is not None and not peer.refused
+                ):
                     lines = {node for node, weight in self.sidecar.get(kind, {}).items() if weight > 0}
                     assert not lines - self.sidecar.get("out", set()), f"{peer.id} has no node for {name}"
         fee = peer.held[ROUTE].get("fee")
         assert fee is None or fee[1].retries == 0  # rule 2
         for node, at in self.drained.items():  # rule 3
-            if self.now - at > GRACE and peer.stream is not None and not peer.stalled and not peer.refused \
-                    and self.now - getattr(peer, "since", 0.0) > GRACE:
+            if (
+                self.now - at > GRACE
+                and peer.stream is not None
+                and not peer.stalled
+                and not peer.refused
+                and self.now - getattr(peer, "since", 0.0) > GRACE
+            ):
                 for name, _ in KINDS:
                     told = (peer.view(name) or {}).get(f"n{node}")
                     assert told is None or told[1] != view.HEALTHY, f"{peer.id} still sends to n{node}"
@@ -268,13 +321,18 @@
         """The sidecar's tables and the conductor's are one."""
         for kind in range(len(KINDS)):
             at = next(at for at, kinds in self.host.proxies[SIDECAR].bound.items() if kinds >> kind & 1)
-            assert {node: weight for node, weight in self.sidecar[kind].items() if weight > 0} \
-                == self.host.tables[at].lines
+            assert {
+                node: weight for node, weight in self.sidecar[kind].items() if weight > 0
+            } == self.host.tables[at].lines
 
     def sidecar_view(self, kind):
         """The weights of the nodes that the sidecar may pick."""
         out = self.sidecar.get("out", set())
-        return {f"n{node}": weight for node, weight in self.sidecar[kind].items() if weight > 0 and node not in out}
+        return {
+            f"n{node}": weight
+            for node, weight in self.sidecar[kind].items()
+            if weight > 0 and node not in out
+        }
 
     def view(self, zone, kind):
         table = self.front.maps[zone][kind]
--- a/tests/xds/table.py
+++ b/tests/xds/table.py
@@ -13,17 +13,37 @@
 
 def config(known, **changes):
     """`known`: by node's id its (port, zone, phase, started)."""
-    members = [{"id": name, "host_port": f"127.0.0.1:{port}", "locality": zone, "phase": phase, "up_since_ms": up}
-               for name, (port, zone, phase, up) in known.items()]
-    settings = {"quantum": 2.0, "zones": ["a", "b"], "membershipMode": "push",
-                "grades": [{"name": "lookup", "aim": 500.0, "idempotency": "idempotent"},
-                           {"name": "fee", "worth": 3.0, "aim": 1000.0, "idempotency": "at_most_once"}],
-                "rules": {"cold": 200.0, "coldShare": 0.2, "tipMultiple": 4.0},
-                "specifics": {"proxyCount": 8, "pushRate": 1e6, "envelope": 4.0, "queueCap": 1e6, "admit": "fraction",
-                              "period": 1000.0}} | changes
-    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f",
-            "limits": {"sockets": 256}, "known": {"revision": 1, "complete": True, "members": members},
-            "settings": settings}
+    members = [
+        {"id": name, "host_port": f"127.0.0.1:{port}", "locality": zone, "phase": phase, "up_since_ms": up}
+        for name, (port, zone, phase, up) in known.items()
+    ]
+    settings = {
+        "quantum": 2.0,
+        "zones": ["a", "b"],
+        "membershipMode": "push",
+        "grades": [
+            {"name": "lookup", "aim": 500.0, "idempotency": "idempotent"},
+            {"name": "fee", "worth": 3.0, "aim": 1000.0, "idempotency": "at_most_once"},
+        ],
+        "rules": {"cold": 200.0, "coldShare": 0.2, "tipMultiple": 4.0},
+        "specifics": {
+            "proxyCount": 8,
+            "pushRate": 1e6,
+            "envelope": 4.0,
+            "queueCap": 1e6,
+            "admit": "fraction",
+            "period": 1000.0,
+        },
+    } | changes
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "8c1f",
+        "limits": {"sockets": 256},
+        "known": {"revision": 1, "complete": True, "members": members},
+        "settings": settings,
+    }
 
 
 class Table:
@@ -104,8 +124,10 @@
 
 def served(*names, **others):
     """Endpoints as the management server tells them; others by health."""
-    return [(name, "127.0.0.1", 9000 + int(name[1:]), "ab"[int(name[1:]) % 2], others.get(name, "HEALTHY"), 1)
-            for name in dict.fromkeys([*names, *others])]
+    return [
+        (name, "127.0.0.1", 9000 + int(name[1:]), "ab"[int(name[1:]) % 2], others.get(name, "HEALTHY"), 1)
+        for name in dict.fromkeys([*names, *others])
+    ]
 
 
 def nodes(count, **changes):
--- a/tests/xds/test_both.py
+++ b/tests/xds/test_both.py
@@ -52,21 +52,31 @@
                 await self.take()
 
     def picks(self, kind):
-        return {node: weight for node, weight in self.lines.get(kind, {}).items() if weight and node not in self.out}
+        return {
+            node: weight
+            for node, weight in self.lines.get(kind, {}).items()
+            if weight and node not in self.out
+        }
 
 
 def test_a_sidecar_and_xds_clients_see_one_table():
     """The same arrivals, the same table: at the start, after a drain, after reports, after a cold return."""
+
     async def story():
         async with Table(nodes(4)) as table:
             sidecar = Sidecar(table, 3)
             await sidecar.connect()
-            clients = [await subscribed(table, f"c{at}", delta, shape) for at, (delta, shape) in
-                       enumerate([(False, "whole"), (True, "each"), (False, "spread")])]
+            clients = [
+                await subscribed(table, f"c{at}", delta, shape)
+                for at, (delta, shape) in enumerate([(False, "whole"), (True, "each"), (False, "spread")])
+            ]
 
             def picks(client, kind):
-                return {name: weight for name, (weight, health) in client.endpoints(kind).items()
-                        if health == "HEALTHY"}
+                return {
+                    name: weight
+                    for name, (weight, health) in client.endpoints(kind).items()
+                    if health == "HEALTHY"
+                }
 
             async def agree(met):
                 await sidecar.until(lambda: met(sidecar.picks("lookup")))
@@ -86,18 +96,26 @@
             table.roll(n1=(9001, "b", "SERVING", time.time() * 1000))
             await agree(lambda found: 0 < found.get("n1", 0) < found["n0"])
             sidecar.writer.close()
+
     played(story())
 
 
 def report(node, kind, over, **localities):
-    """A report as gRPC's own client makes it: one locality a node; by name (good, errored, issued, under way)."""
+    """A report as gRPC's own client makes it: one locality a node; by name (good, errored, issued, under
+    way).
+    """
     message = lrs_pb2.LoadStatsRequest(node=node)
-    stats = message.cluster_stats.add(cluster_name=kind, load_report_interval=duration_pb2.Duration(
-        nanos=int(over * 1e9)))
+    stats = message.cluster_stats.add(
+        cluster_name=kind, load_report_interval=duration_pb2.Duration(nanos=int(over * 1e9))
+    )
     for name, (good, errored, issued, under_way) in localities.items():
         stats.upstream_locality_stats.add(
-            locality=base_pb2.Locality(zone="a", sub_zone=name), total_successful_requests=good,
-            total_error_requests=errored, total_issued_requests=issued, total_requests_in_progress=under_way)
+            locality=base_pb2.Locality(zone="a", sub_zone=name),
+            total_successful_requests=good,
+            total_error_requests=errored,
+            total_issued_requests=issued,
+            total_requests_in_progress=under_way,
+        )
     return message
 
 
@@ -113,7 +131,9 @@
             good = {f"n{at}": (20, 0, 20, 0) for at in range(6)}
             await call.write(report(None, "lookup", 0.2, **good).SerializeToString())
             await call.write(report(None, "nobody", 0.2, **good).SerializeToString())
-            await call.write(report(None, "lookup", 0.2, **good | {"n1": (9999, 0, 5, 0)}).SerializeToString())
+            await call.write(
+                report(None, "lookup", 0.2, **good | {"n1": (9999, 0, 5, 0)}).SerializeToString()
+            )
             await call.write(b"\x0a\xff")  # cut in the middle
             while not any("cannot be read" in line for line in table.lines):
                 await call.write(report(None, "lookup", 0.2, **good).SerializeToString())
@@ -121,7 +141,9 @@
             assert any("nobody" in line for line in table.lines)
             assert any("9999 reqs done" in line for line in table.lines)
             while client.endpoints("lookup")["n2"][1] != "UNHEALTHY":
-                await call.write(report(None, "lookup", 0.2, **good | {"n2": (0, 20, 20, 0)}).SerializeToString())
+                await call.write(
+                    report(None, "lookup", 0.2, **good | {"n2": (0, 20, 20, 0)}).SerializeToString()
+                )
                 await asyncio.sleep(0.05)
             call.cancel()  # a stream that is cut costs nothing but itself
             table.roll(n0=(9000, "a", "DRAINING", 0))
@@ -129,6 +151,7 @@
             stranger = client.channel.stream_stream(REPORT)()
             await stranger.write(report(None, "lookup", 0.2, **good).SerializeToString())
             assert await stranger.code() is grpc.StatusCode.INVALID_ARGUMENT
+
     played(story())
 
 
@@ -136,7 +159,14 @@
     """gRPC's own client, in a process of its own."""
 
     def __init__(self, table, id="g", zone="a"):
-        self.words = [sys.executable, "-m", "oatcart.xds.standin.channel", f"127.0.0.1:{table.port}", id, zone]
+        self.words = [
+            sys.executable,
+            "-m",
+            "oatcart.xds.standin.channel",
+            f"127.0.0.1:{table.port}",
+            id,
+            zone,
+        ]
 
     async def __aenter__(self):
         self.process = await asyncio.create_subprocess_exec(*self.words, stdin=-1, stdout=-1, stderr=-3)
@@ -175,13 +205,15 @@
             await channel.until(lambda found: "n1" not in found, "lookup", 40)
             codec, rounds = table.one.rounds.codec, table.one.rounds
             for _ in range(3):  # evidence against n2: it is withdrawn
-                for at, node in enumerate(standing):
+                for node in standing:
                     bad = 20 if node.name == "n2" else 0
                     rounds.arrive(("met", codec.places[node.name], 0, 1.0, 0.05, bad, 20, (None, 0.3, None)))
             table.one.nested.kick()
             await channel.until(lambda found: found.keys() == {"n0", "n3"}, "lookup", 40)
             await table.restart()
-            await channel.until(lambda found: found.keys() >= {"n0", "n2", "n3"} and "n1" not in found, "lookup", 60)
+            await channel.until(
+                lambda found: found.keys() >= {"n0", "n2", "n3"} and "n1" not in found, "lookup", 60
+            )
             table.roll(n0=(*known["n0"][:2], "DRAINING", 0), n2=None)
             await channel.until(lambda found: found.keys() == {"n3"}, "lookup", 40)  # all gone but one
             table.roll(n1=known["n1"])
@@ -189,11 +221,13 @@
             assert not [line for line in table.lines if line.startswith("refused")]
         for node in standing:
             await node.stop()
+
     played(story())
 
 
 def test_grpcs_own_client_follows_weights():
     """Weights that differ, over enough calls that chance stays within five standard deviations."""
+
     async def story():
         standing, known = await raised(3)
         async with Table(known, report_every=100.0) as table, Channel(table) as channel:
@@ -203,8 +237,9 @@
                 rounds.arrive(("met", codec.places[node.name], 0, 1.0, 0.05, 0, 20, (None, busy, None)))
             table.one.nested.kick()
             async with asyncio.timeout(10):
-                while len({weight for weight, _ in table.view().values()}) < 3 or \
-                        any(one["in_flight"] for one in table.one.front.status(0.0)):
+                while len({weight for weight, _ in table.view().values()}) < 3 or any(
+                    one["in_flight"] for one in table.one.front.status(0.0)
+                ):
                     await asyncio.sleep(0.05)
             await channel.call("lookup", 50)
             weights = {name: weight for name, (weight, _) in table.view().items()}
@@ -216,11 +251,13 @@
                 assert abs(found[name] - 3000 * share) <= bound, (weights, found)
         for node in standing:
             await node.stop()
+
     played(story())
 
 
 def test_a_fee_is_never_tried_twice_by_grpcs_own_client():
     """Rule 2: nodes that fail after the effect; a replayable kind may be tried again, a fee may not."""
+
     async def story():
         standing, known = await raised(2)
         async with Table(known) as table, Channel(table) as channel:
@@ -235,8 +272,14 @@
                 node.fails = True
 
             calls = []  # until a lookup runs more often than it was called: the order has come to the client
-            await channel.until(lambda found: calls.append(found) or sum(
-                node.effects[b"look"] for node in standing) > len(calls), "lookup", 1, "look")
+            await channel.until(
+                lambda found: (
+                    calls.append(found) or sum(node.effects[b"look"] for node in standing) > len(calls)
+                ),
+                "lookup",
+                1,
+                "look",
+            )
             for at in range(10):
                 found = await channel.call("fee", 1, f"fee{at}")
                 assert found == {"!UNAVAILABLE": 1}
@@ -244,4 +287,5 @@
             assert ran == [1] * 10
         for node in standing:
             await node.stop()
+
     played(story())
--- a/tests/xds/test_configuration.py
+++ b/tests/xds/test_configuration.py
@@ -1,4 +1,6 @@
-"""`deploy/xds.yaml`: every error names file, line and field; and what the platform's conductor does not import."""
+"""`deploy/xds.yaml`: every error names file, line and field; and what the platform's conductor does not
+import.
+"""
 
 import subprocess
 import sys
@@ -16,24 +18,42 @@
 
 
 def test_what_is_set_is_read(tmp_path):
-    (tmp_path / "x.yaml").write_text("listen: 127.0.0.1:1\nunread_for: 250ms\nhome_zone: a\n"
-                                     "source:\n  address: 127.0.0.1:2\n  cluster: s\n  hold: 1m\n  with_roll: true\n")
-    assert read(tmp_path / "x.yaml") == Xds(listen="127.0.0.1:1", unread_for=0.25, home_zone="a",
-                                            source=Source("127.0.0.1:2", "s", 60.0, 30.0, True))
-
-
-@pytest.mark.parametrize("text, said", [
-    ("listen: here", ["x.yaml:1: listen: 'here' is not a numeric address and a port"]),
-    ("clients: 10\nlisen: 127.0.0.1:1\n", ["x.yaml:2: lisen is not known; did you mean listen?"]),
-    ("clients: 0\n\nunread_for: 5\nstreams: true\n", ["x.yaml:1: clients: 0 is not a whole number from 1",
-     "x.yaml:3: unread_for: 5 has no unit", "x.yaml:4: streams: True is not"]),
-    ("source:\n  address: 127.0.0.1:2\n  hodl: 1s\n", ["x.yaml:3: source.hodl is not known; did you mean hold?",
-                                                       "x.yaml:1: source.cluster is missing"]),
-    ("source: yes\n", ["x.yaml:1: source. is no table of keys"]),
-    ("clients: [1\n", ["x.yaml:2: "]),
-    ("clients: 1\nclients: 2\n", ["x.yaml:2: "]),
-    ("- 1\n", ["x.yaml:1: the file is no table"]),
-    ("unread_for: 2h\n", ["x.yaml:1: unread_for: 2h has no unit"])])
+    (tmp_path / "x.yaml").write_text(
+        "listen: 127.0.0.1:1\nunread_for: 250ms\nhome_zone: a\n"
+        "source:\n  address: 127.0.0.1:2\n  cluster: s\n  hold: 1m\n  with_roll: true\n"
+    )
+    assert read(tmp_path / "x.yaml") == Xds(
+        listen="127.0.0.1:1",
+        unread_for=0.25,
+        home_zone="a",
+        source=Source("127.0.0.1:2", "s", 60.0, 30.0, True),
+    )
+
+
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("listen: here", ["x.yaml:1: listen: 'here' is not a numeric address and a port"]),
+        ("clients: 10\nlisen: 127.0.0.1:1\n", ["x.yaml:2: lisen is not known; did you mean listen?"]),
+        (
+            "clients: 0\n\nunread_for: 5\nstreams: true\n",
+            [
+                "x.yaml:1: clients: 0 is not a whole number from 1",
+                "x.yaml:3: unread_for: 5 has no unit",
+                "x.yaml:4: streams: True is not",
+            ],
+        ),
+        (
+            "source:\n  address: 127.0.0.1:2\n  hodl: 1s\n",
+            ["x.yaml:3: source.hodl is not known; did you mean hold?", "x.yaml:1: source.cluster is missing"],
+        ),
+        ("source: yes\n", ["x.yaml:1: source. is no table of keys"]),
+        ("clients: [1\n", ["x.yaml:2: "]),
+        ("clients: 1\nclients: 2\n", ["x.yaml:2: "]),
+        ("- 1\n", ["x.yaml:1: the file is no table"]),
+        ("unread_for: 2h\n", ["x.yaml:1: unread_for: 2h has no unit"]),
+    ],
+)
 def test_errors_name_file_line_and_field(tmp_path, text, said):
     (tmp_path / "x.yaml").write_text(text)
     with pytest.raises(Wrong) as wrong:
@@ -48,7 +68,16 @@
 
 
 def test_the_platforms_conductor_imports_none_of_it():
-    found = subprocess.run([sys.executable, "-c", "import sys, oatcart.__main__, oatcart.simhost.host; "
-                            "print([name for name in ('grpc', 'google.protobuf', 'envoy', 'asyncio', 'ruamel.yaml', "
-                            "'oatcart.xds', 'oatcart.trace', 'numpy', 'msgpack', 'zstandard') if name in sys.modules])"], cwd=ROOT, capture_output=True, text=True)
+    found = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "import sys, oatcart.__main__, oatcart.simhost.host; "
+            "print([name for name in ('grpc', 'google.protobuf', 'envoy', 'asyncio', 'ruamel.yaml', "
+            "'oatcart.xds', 'oatcart.trace', 'numpy', 'msgpack', 'zstandard') if name in sys.modules])",
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+    )
     assert found.stdout.strip() == "[]", found.stderr
--- a/tests/xds/test_decisions.py
+++ b/tests/xds/test_decisions.py
@@ -80,7 +80,11 @@
     take = peer.take
     peer.take = lambda kind, push: (order.extend((kind, name) for name in push.removed), take(kind, push))
     peer.late = True
-    shelves = [front.shelves[CLUSTER, view.WHOLE], front.shelves[ENDPOINTS, 0, view.WHOLE], front.shelves[ROUTE, 0]]
+    shelves = [
+        front.shelves[CLUSTER, view.WHOLE],
+        front.shelves[ENDPOINTS, 0, view.WHOLE],
+        front.shelves[ROUTE, 0],
+    ]
     for shelf in shelves:
         shelf.drop(stage.now, "fee")
     front.dirty[peer.stream] = None
@@ -106,7 +110,10 @@
     turns(stage, 2)
     seen = []
     take = peer.take
-    peer.take = lambda kind, push: (take(kind, push), seen.append((peer.view("lookup") or {}).get("n0", ("", "gone"))[1]))
+    peer.take = lambda kind, push: (
+        take(kind, push),
+        seen.append((peer.view("lookup") or {}).get("n0", ("", "gone"))[1]),
+    )
     peer.stalled = True
     stage.list[7] = (1, 0.0, our.READY)  # something that is written and not read
     stage.listed()
@@ -211,7 +218,9 @@
     line.change(["x", "y"], [], {}, "", None)
     push = line.due(shelf)
     assert {name for name, _ in push.items} == {"x", "y"}
-    assert line.change([], [], {}, push.nonce, "something is wrong") == Refusal("something is wrong", (), ("x", "y"))
+    assert line.change([], [], {}, push.nonce, "something is wrong") == Refusal(
+        "something is wrong", (), ("x", "y")
+    )
     alone = line.due(shelf)
     assert len(alone.items) == 1
     name, other = alone.items[0][0], {"x": "y", "y": "x"}[alone.items[0][0]]
@@ -239,7 +248,8 @@
     shelf.put(1.0, "x", "b", "b", urgent=True)
     second = line.due(shelf)  # took a out, so it did not wait
     assert line.ask(["x", "y"], "l.0", None) is False and "y" not in line.wanted
-    assert line.ask(["x", "y"], first.nonce, None) is None and "y" not in line.wanted  # the answer, not yet the names
+    # the answer, not yet the names
+    assert line.ask(["x", "y"], first.nonce, None) is None and "y" not in line.wanted
     assert line.held["x"] == first.items[0][1].seq
     line.ask(["x", "y"], second.nonce, "no")
     assert "y" in line.wanted and line.held["x"] == first.items[0][1].seq
@@ -301,15 +311,24 @@
         odd.clear()
         return books.read(reports, 9, 1, {"lookup": 0}, place, odd.append)
 
-    told = read(ClusterReport("nobody", 1.0, [("n0", good)], [good], 0),
-                ClusterReport("lookup", 2.0, [("n0", good), ("n9", good), (("127.0.0.1", 9001), good)], [good], 5))
+    told = read(
+        ClusterReport("nobody", 1.0, [("n0", good)], [good], 0),
+        ClusterReport("lookup", 2.0, [("n0", good), ("n9", good), (("127.0.0.1", 9001), good)], [good], 5),
+    )
     assert [one[:2] for one in told] == [("met", 0), ("met", 1), ("came", 9)] and len(odd) == 2
-    assert told[0] == ("met", 0, 1, 2.0, 3 * 2.0 / 10, 2, 10, (None, 0.4, None)) and told[2] == ("came", 9, 0, 15, 2, 2.0)
+    assert told[0] == ("met", 0, 1, 2.0, 3 * 2.0 / 10, 2, 10, (None, 0.4, None)) and told[2] == (
+        "came",
+        9,
+        0,
+        15,
+        2,
+        2.0,
+    )
     back = good._replace(good=500)  # of 3 under way and 10 issued: a sum that ran backwards
     told = read(ClusterReport("lookup", 2.0, [("n0", back), (("127.0.0.1", 9001), good)], [good], 0))
     assert [one[:2] for one in told] == [("met", 1), ("came", 9)] and "500" not in odd[0][:10]
     assert not read(ClusterReport("lookup", -1.0, [("n0", good)], [good], 0)) and "over -1.0 s" in odd[0]
-    told = read(ClusterReport("lookup", 1.0, [("n0", good._replace(errored=2 ** 63))], [good], 2 ** 60))
+    told = read(ClusterReport("lookup", 1.0, [("n0", good._replace(errored=2**63))], [good], 2**60))
     assert told == [] and len(odd) == 2
     assert read(ClusterReport("lookup", 1.0, [("n0", good)], [good], 0))[0][0] == "met"
 
--- a/tests/xds/test_front.py
+++ b/tests/xds/test_front.py
@@ -36,6 +36,7 @@
 @pytest.mark.parametrize("delta, shape", WAYS)
 def test_every_way_sees_what_the_conductor_means(delta, shape):
     """Start, drain, and gone: the view follows, and makes come before what builds on them."""
+
     async def story():
         async with Table(nodes(4)) as table:
             client = await subscribed(table, "c", delta, shape)
@@ -47,11 +48,13 @@
             await client.until(lambda: "n1" not in client.endpoints("lookup"))
             await client.until(lambda: client.endpoints("lookup") == table.view())
             await client.until(lambda: client.endpoints("fee") == table.view("a", "fee"))
+
     played(story())
 
 
 def test_a_late_client_gets_drains_and_merges_the_rest():
     """Failure: an endpoint that drains while a push is in flight, at a client that answers nothing."""
+
     async def story():
         async with Table(nodes(4)) as table:
             client = await subscribed(table, "c", False, "whole")
@@ -63,36 +66,46 @@
             await client.until(lambda: client.endpoints("lookup")["n0"][1] == "DRAINING")
             client.answers.set()
             await client.until(lambda: client.endpoints("lookup") == table.view() and "n5" in table.view())
+
     played(story())
 
 
 @pytest.mark.parametrize("delta", [False, True])
 def test_a_refused_push_costs_itself_alone(delta):
-    """Failure: a client that rejects an update. It stays on what it held, the operator has its words, the same is not
-    sent again, others are served on; the next content is tried."""
+    """Failure: a client that rejects an update. It stays on what it held, the operator has its words, the
+    same is not sent again, others are served on; the next content is tried."""
+
     async def story():
         async with Table(nodes(3)) as table:
-            bad = lambda kind, message: "I will not have n3" if "n3" in str(message) and \
-                "n4" not in str(message) else ""
+
+            def bad(kind, message):
+                return "I will not have n3" if "n3" in str(message) and "n4" not in str(message) else ""
+
             client = await subscribed(table, "c", delta, "whole", refuses=bad)
             other = await subscribed(table, "d", delta, "whole")
             before = client.endpoints("lookup")
             table.roll(n3=(9003, "b", "SERVING", 0))
             await other.until(lambda: "n3" in other.endpoints("lookup"))
-            await client.until(lambda: any(line.startswith("refused: c refuses endpoints") and
-                                           "I will not have n3" in line for line in table.lines))
+            await client.until(
+                lambda: any(
+                    line.startswith("refused: c refuses endpoints") and "I will not have n3" in line
+                    for line in table.lines
+                )
+            )
             sent = len(client.got)
             table.roll(n9=None)  # a list that says the same again
             await other.until(lambda: other.endpoints("lookup") == table.view())
             assert client.endpoints("lookup") == before and len(client.got) <= sent + 2
             table.roll(n4=(9004, "b", "SERVING", 0))
             await client.until(lambda: client.endpoints("lookup") == table.view() and "n4" in table.view())
+
     played(story())
 
 
 @pytest.mark.parametrize("delta, shape", WAYS)
 def test_a_drain_while_the_client_is_away(delta, shape):
     """Failure: it returns with old versions; it never sees a list without a node to pick."""
+
     async def story():
         async with Table(nodes(4)) as table:
             client = await subscribed(table, "c", delta, shape)
@@ -103,12 +116,14 @@
             await client.until(lambda: client.endpoints("lookup") == table.view())
             if delta:  # what had not changed was not sent again
                 assert not any(names and kind == CLUSTER for kind, names, *_ in client.got)
+
     played(story())
 
 
 @pytest.mark.parametrize("delta, shape", WAYS)
 def test_a_restart_of_the_conductor(delta, shape):
-    """Failure: clients hold versions of its former life. Equal contents bear equal versions, others never do."""
+    """Failure: clients hold versions of its former life. Equal contents bear equal versions, others never."""
+
     async def story():
         async with Table(nodes(4)) as table:
             client = await subscribed(table, "c", delta, shape)
@@ -123,12 +138,14 @@
             assert client.endpoints("lookup").get("n3", (0, "gone"))[1] != "HEALTHY"
             if delta:
                 assert not any(names and kind == CLUSTER for kind, names, *_ in client.got)
+
     played(story())
 
 
 def test_two_streams_of_one_client_overlap():
-    """Failure: a connection whose end nobody saw. Both are served; past the limit the oldest ends for the newest, and
-    the module keeps one proxy throughout."""
+    """Failure: a connection whose end nobody saw. Both are served; past the limit the oldest ends for the
+    newest, and the module keeps one proxy throughout."""
+
     async def story():
         async with Table(nodes(3), streams=2) as table:
             one = await subscribed(table, "c", False, "whole")
@@ -140,18 +157,23 @@
             for client in two, three:
                 await client.until(lambda: client.endpoints("lookup")["n0"][1] == "DRAINING")
             assert [client["streams"] for client in table.one.front.status(0.0)] == [2]
+
     played(story())
 
 
 def test_subscriptions_come_and_go():
-    """Names asked for, left and asked for anew; wildcards; what does not exist is told as far as each protocol can."""
+    """Names asked for, left and asked for anew; wildcards; what does not exist is told as far as each
+    protocol can.
+    """
+
     async def story():
         async with Table(nodes(3)) as table:
             client = table.client("c", delta=True)
             client.connect()
             client.ask(ENDPOINTS, ["lookup", "nonesuch"])
-            await client.until(lambda: client.endpoints("lookup") and any("nonesuch" in gone for _, _, gone, _ in
-                                                                           client.got))
+            await client.until(
+                lambda: client.endpoints("lookup") and any("nonesuch" in gone for _, _, gone, _ in client.got)
+            )
             client.ask(ENDPOINTS, ["fee"])
             await client.until(lambda: client.endpoints("fee"))
             client.ask(ENDPOINTS, unsubscribe=["lookup"])
@@ -160,9 +182,13 @@
             await client.until(lambda: client.endpoints("lookup"))
             client.ask(LISTENER, ["lookup"])
             client.ask(ROUTE, ["lookup", "fee"])
-            await client.until(lambda: {"lookup", "fee"} <= client.held[ROUTE].keys() and client.held[LISTENER])
-            retried = {name: message.virtual_hosts[0].routes[0].route.retry_policy.num_retries.value
-                       for name, (_, message) in client.held[ROUTE].items()}
+            await client.until(
+                lambda: {"lookup", "fee"} <= client.held[ROUTE].keys() and client.held[LISTENER]
+            )
+            retried = {
+                name: message.virtual_hosts[0].routes[0].route.retry_policy.num_retries.value
+                for name, (_, message) in client.held[ROUTE].items()
+            }
             assert retried == {"lookup": 1, "fee": 0}  # a fee is never offered another try
             wild = table.client("w", "b")
             wild.connect()
@@ -172,17 +198,20 @@
             await wild.until(lambda: wild.held[CLUSTER].keys() == {"fee"})
             wild.ask(ENDPOINTS, ["nonesuch", "fee"])
             await wild.until(lambda: wild.held[ENDPOINTS].keys() == {"fee"})
+
     played(story())
 
 
 def test_who_cannot_be_served_is_told_why():
     async def story():
         async with Table(nodes(3), clients=1, names=4) as table:
+
             async def ended(client, *ask, **more):
                 client.connect(**more)
                 client.ask(*ask)
                 await client.until(lambda: client.status is not None)
                 return client.status
+
             code, words, _ = await ended(table.client("c", "mars"), CLUSTER)
             assert code == "INVALID_ARGUMENT" and "'mars' is none of a, b" in words
             code, words, _ = await ended(table.client(""), CLUSTER)
@@ -200,6 +229,7 @@
             odd = table.client("c")
             odd.connect()
             from envoy.service.discovery.v3 import discovery_pb2
+
             odd.say(discovery_pb2.DiscoveryRequest(node=odd.node, type_url="type.googleapis.com/odd.Thing"))
             await odd.until(lambda: odd.status is not None)
             assert odd.status[0] == "UNIMPLEMENTED" and "served are" in odd.status[1]
@@ -208,6 +238,7 @@
             code, words, hints = await ended(table.client("d"), CLUSTER)
             assert code == "RESOURCE_EXHAUSTED" and int(hints["grpc-retry-pushback-ms"]) > 0
             assert client.status is None
+
     played(story())
 
 
@@ -222,6 +253,7 @@
             assert big.status[0] == "RESOURCE_EXHAUSTED"
             table.roll(n0=(9000, "a", "DRAINING", 0))
             await client.until(lambda: client.endpoints("lookup")["n0"][1] == "DRAINING")
+
     played(story())
 
 
@@ -240,6 +272,7 @@
                     break
             await client.until(lambda: all(one["id"] != "s" for one in table.one.front.status(0.0)))
             assert any("left unread" in line for line in table.lines)
+
     played(story())
 
 
@@ -251,4 +284,5 @@
                 client.connect(only=ENDPOINTS)
                 client.ask(ENDPOINTS, ["lookup"])
                 await client.until(lambda: client.endpoints("lookup") == table.view())
+
     played(story())
--- a/tests/xds/test_machine.py
+++ b/tests/xds/test_machine.py
@@ -1,4 +1,5 @@
-"""Random changes and faults against the push decisions, by hypothesis: views end equal, drains are in time, rules hold.
+"""Random changes and faults against the push decisions, by hypothesis: views end equal, drains are in time,
+rules hold.
 
 `XDS_EXAMPLES=2000` plays more of them than CI does.
 """
@@ -35,6 +36,7 @@
 
     def peer(self, at):
         from sim import Peer
+
         if at not in self.stage.peers:
             self.stage.peers[at] = Peer(self.stage, f"p{at}", at % 2, *SHAPES[at])
             self.stage.peers[at].names["endpoints"] = {name: None for name, _ in KINDS}
@@ -54,7 +56,9 @@
 
     @rule(at=PEERS)
     def overlap(self, at):
-        """A second stream of one client; the first is never seen to end by the client, which reads the second."""
+        """A second stream of one client; the first is never seen to end by the client, which reads the
+        second.
+        """
         peer = self.peer(at)
         if peer.stream is not None:
             old = peer.stream
@@ -112,7 +116,9 @@
         for place, (zone, _, state) in self.stage.list.items():
             if state == our.READY:
                 bad = 20 if errs and place == node else 0
-                self.stage.host.arrive(("met", place, zone, 1.0, 0.05, bad, 20, (None, 0.3 + place / 20, None)))
+                self.stage.host.arrive(
+                    ("met", place, zone, 1.0, 0.05, bad, 20, (None, 0.3 + place / 20, None))
+                )
 
     @rule()
     def dies(self):
@@ -147,7 +153,11 @@
             for kind, (name, _) in enumerate(KINDS):
                 if name in peer.names["endpoints"]:
                     assert peer.view(name) == stage.view(peer.zone, kind), peer.id
-                    picks = {node: weight for node, (weight, health) in peer.view(name).items() if health == "HEALTHY"}
+                    picks = {
+                        node: weight
+                        for node, (weight, health) in peer.view(name).items()
+                        if health == "HEALTHY"
+                    }
                     assert picks == stage.sidecar_view(kind), peer.id
             assert not peer.stream.client.owed, "a mark was never acknowledged"
         stage.tables_agree()
@@ -159,6 +169,12 @@
             assert len(self.stage.front.clients) <= 4
 
 
-Machine.TestCase.settings = settings(max_examples=int(os.environ.get("XDS_EXAMPLES", 80)), stateful_step_count=40, deadline=None, derandomize=True, phases=[Phase.generate],
-                                     suppress_health_check=list(HealthCheck))
+Machine.TestCase.settings = settings(
+    max_examples=int(os.environ.get("XDS_EXAMPLES", 80)),
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
 TestMachine = Machine.TestCase
--- a/tests/xds/test_source.py
+++ b/tests/xds/test_source.py
@@ -1,4 +1,6 @@
-"""Nodes taken from a management server: what is believed of it, and what a conductor does when it is wrong or gone."""
+"""Nodes taken from a management server: what is believed of it, and what a conductor does when it is wrong or
+gone.
+"""
 
 import asyncio
 from random import Random
@@ -29,7 +31,8 @@
     assert one.take(15.0, 1015.0, told("a", "b", "c"), False)  # late enough, but the same stream
     assert one.take(15.0, 1015.0, told("a", "b", "c"), True) == ""
     assert one.standing.keys() == set("abc") and one.ask_again() == float("inf")
-    assert one.take(16.0, 1016.0, told("a", "b"), False) == "" and one.standing.keys() == set("ab")  # one is no half
+    # one is no half
+    assert one.take(16.0, 1016.0, told("a", "b"), False) == "" and one.standing.keys() == set("ab")
 
 
 def test_an_empty_list_is_never_believed_and_a_drain_in_it_is():
@@ -69,8 +72,10 @@
 def test_two_lists_become_one():
     one = Merge()
     one.take(ROLL, True, [(0, 0, 5.0, our.READY, 2.0), (1, 0, 0.0, our.READY, 1.0)])
-    assert one.take(XDS, True, [(0, 1, 9.0, our.READY, 7.0), (2, 1, 0.0, our.READY, 1.0)]) == \
-        [(0, 0, 9.0, our.READY, 2.0), (2, 1, 0.0, our.READY, 1.0)]
+    assert one.take(XDS, True, [(0, 1, 9.0, our.READY, 7.0), (2, 1, 0.0, our.READY, 1.0)]) == [
+        (0, 0, 9.0, our.READY, 2.0),
+        (2, 1, 0.0, our.READY, 1.0),
+    ]
     assert one.take(XDS, True, [(0, 1, 9.0, our.DRAINING, 7.0)])[0][3] == our.DRAINING
     assert one.take(ROLL, True, []) == [(0, 1, 9.0, our.DRAINING, 7.0), (1, 0, 0.0, our.GONE, 1.0)]
     assert [entry[3] for entry in one.take(XDS, True, [])] == [our.GONE, our.GONE]
@@ -89,6 +94,7 @@
 
 def test_a_conductor_follows_a_management_server():
     """Start, drain and return; half a list once; silence; a cut; each while a client watches."""
+
     async def story():
         async with Following(hold=0.4) as table:
             table.server.says(served("n0", "n1", "n2", "n3"))
@@ -116,15 +122,23 @@
             while table.server.opened < before + 2:
                 await asyncio.sleep(0.01)
             assert client.endpoints("lookup").keys() == {"n0", "n3"}
+
     played(story())
 
 
-@pytest.mark.parametrize("bad, field", [
-    ([("n1", "one.example", 9001, "a", "HEALTHY", 1)], "endpoints[0].lb_endpoints[0].endpoint.address"),
-    ([("n1", "127.0.0.1", 0, "a", "HEALTHY", 1)], "endpoints[0].lb_endpoints[0].endpoint.address"),
-    ([("n1", "127.0.0.1", 9001, "mars", "HEALTHY", 1)], "endpoints[0].locality.zone"),
-    ([("n1", "127.0.0.1", 9001, "a", "HEALTHY", 1), ("n2", "127.0.0.1", 9001, "a", "HEALTHY", 1)], "endpoints[1]"),
-    ([("n\n1", "127.0.0.1", 9001, "a", "HEALTHY", 1)], "endpoints[0].lb_endpoints[0].endpoint.hostname")])
+@pytest.mark.parametrize(
+    "bad, field",
+    [
+        ([("n1", "one.example", 9001, "a", "HEALTHY", 1)], "endpoints[0].lb_endpoints[0].endpoint.address"),
+        ([("n1", "127.0.0.1", 0, "a", "HEALTHY", 1)], "endpoints[0].lb_endpoints[0].endpoint.address"),
+        ([("n1", "127.0.0.1", 9001, "mars", "HEALTHY", 1)], "endpoints[0].locality.zone"),
+        (
+            [("n1", "127.0.0.1", 9001, "a", "HEALTHY", 1), ("n2", "127.0.0.1", 9001, "a", "HEALTHY", 1)],
+            "endpoints[1]",
+        ),
+        ([("n\n1", "127.0.0.1", 9001, "a", "HEALTHY", 1)], "endpoints[0].lb_endpoints[0].endpoint.hostname"),
+    ],
+)
 def test_an_answer_that_cannot_be_used_is_refused_by_its_field(bad, field):
     async def story():
         async with Following() as table:
@@ -136,6 +150,7 @@
             assert table.server.refused[0].startswith(field), table.server.refused
             table.server.says(served("n0", "n1", "n2"))
             await client.until(lambda: client.endpoints("lookup").keys() == {"n0", "n1", "n2"})
+
     played(story())
 
 
@@ -149,4 +164,5 @@
             await client.until(lambda: client.endpoints("lookup")["n1"][1] == "DRAINING")
             table.roll(n0=(9000, "a", "DRAINING", 0))
             await client.until(lambda: client.endpoints("lookup")["n0"][1] == "DRAINING")
+
     played(story())
