--- /dev/null
+++ b/tests/scale/test_scale_report.py
@@ -0,0 +1,235 @@
+"""Measurements kept and read back; tables, JSON and plots of them; the command and its exit codes."""
+
+import json
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oatcart.scale import __main__ as command
+from oatcart.scale.configuration import Budgets
+from oatcart.scale.measurement import (
+    DIMENSIONS,
+    QUANTITIES,
+    Measurement,
+    MeasurementError,
+    from_json,
+    read_json,
+    to_json,
+    write_json,
+)
+from oatcart.scale.report import budget_of, json_report, text_report
+from oatcart.scale.slopes import analyse
+
+ROOT = Path(__file__).parents[2]
+SIZES = (500, 1_500, 4_000, 9_000, 27_000)
+COST = st.none() | st.floats(0.0, 1e12)
+
+
+def measured() -> list[Measurement]:
+    """A conductor whose costs grow straight, one size left out, and a role of another dimension."""
+    conductor = [
+        Measurement("nodes", size, "conductor", core_share=1e-4 + 2e-6 * size, resident_mb=30.0 + 0.01 * size)
+        for size in SIZES
+    ]
+    left_out = Measurement("nodes", 50_000, "conductor", left_out="needs 9 GiB of 8 GiB")
+    control = Measurement("routes", 10, "control", core_share=0.5)
+    return [*conductor, left_out, control]
+
+
+@given(
+    st.lists(
+        st.builds(
+            Measurement,
+            dimension=st.sampled_from(DIMENSIONS),
+            size=st.floats(1e-3, 1e9),
+            role=st.text(min_size=1),
+            left_out=st.none() | st.text(min_size=1),
+            **{quantity.field: COST for quantity in QUANTITIES},
+        ),
+        max_size=5,
+    )
+)
+def test_measurements_come_back_from_json_as_they_were(measurements):
+    assert from_json(to_json(measurements)) == measurements
+
+
+def test_measurements_come_back_from_a_file(tmp_path):
+    write_json(tmp_path / "m.json", measured())
+    assert read_json(tmp_path / "m.json") == measured()
+
+
+@pytest.mark.parametrize(
+    ("text", "error"),
+    [
+        ("[", "line 1: "),
+        ("{}", "the measurements are not a JSON array"),
+        ("[1]", "item 0 is not an object"),
+        ('[{"dimension": "nodes", "size": 1, "role": "a", "core": 1}]', "item 0: core is not known"),
+        ('[{"dimension": "nodes"}]', "item 0: size is missing, role is missing"),
+        (
+            '[{"dimension": "node", "size": 1, "role": "a"}]',
+            "item 0: dimension 'node' is none of conductors, ",
+        ),
+        ('[{"dimension": "nodes", "size": 0, "role": "a"}]', "item 0: size 0 is not a finite number above 0"),
+        ('[{"dimension": "nodes", "size": 1, "role": ""}]', "item 0: role '' is not a name"),
+        (
+            '[{"dimension": "nodes", "size": 1, "role": "a", "ready_s": NaN}]',
+            "item 0: ready_s nan is not a finite number of at least 0",
+        ),
+        (
+            '[{"dimension": "nodes", "size": 1, "role": "a", "left_out": ""}]',
+            "item 0: left_out '' does not say",
+        ),
+    ],
+)
+def test_unreadable_measurements_are_refused_by_file_item_and_field(tmp_path, text, error):
+    path = tmp_path / "m.json"
+    path.write_text(text)
+    with pytest.raises(MeasurementError) as refused:
+        read_json(path)
+    assert str(refused.value).startswith(f"{path}: {error}")
+
+
+def test_the_table_shows_what_was_measured_and_marks_what_is_over_budget():
+    text = text_report(measured(), analyse(measured()), Budgets())
+    tables = text.split("\n\n")
+    assert len(tables) == 4
+    sizes = tables[0].splitlines()
+    assert sizes[0].split("  ")[0] == "nodes"
+    assert "Quiet share of a core [core]" in sizes[0]
+    assert "Longest round" not in sizes[0]
+    assert sizes[1].split() == ["500", "conductor", "0.00110", "35.0"]
+    assert sizes[5].split() == ["27,000", "conductor", "0.0541!", "300!"]
+    assert sizes[6] == "left out: 50,000 nodes, conductor: needs 9 GiB of 8 GiB"
+
+
+def test_only_conductors_have_budgets():
+    text = text_report(measured(), [], Budgets())
+    assert [line.split() for line in text.splitlines() if "control" in line] == [["10", "control", "0.500"]]
+
+
+def test_the_slopes_tell_form_proof_and_what_is_missing():
+    lines = text_report(measured(), analyse(measured()), Budgets()).splitlines()
+    (core,) = [line for line in lines if line.startswith("conductor  Quiet share")]
+    assert "a + b n " in core
+    assert core.endswith("yes")
+    (control,) = [line for line in lines if line.startswith("control  Quiet share")]
+    assert control.endswith("1 sizes measured; a fit needs 4")
+
+
+def test_a_slope_that_fails_its_proof_is_said_so():
+    bent = [one if one.size < 27_000 else replace(one, core_share=0.5) for one in measured()]
+    lines = text_report(bent, analyse(bent), Budgets()).splitlines()
+    (core,) = [line for line in lines if line.startswith("conductor  Quiet share")]
+    assert core.endswith("89%  NOT PROVED (over 20%)")
+
+
+def test_nothing_measured_is_said_so():
+    assert text_report([], [], Budgets()) == "Nothing was measured."
+
+
+def test_the_json_report_holds_measurements_and_slopes():
+    document = json.loads(json_report(measured(), analyse(measured())))
+    assert from_json(json.dumps(document["measurements"])) == measured()
+    core, memory, control = document["slopes"]
+    assert (core["quantity"], core["unit"]) == ("core_share", "core")
+    assert core["fit"]["form"] == "a + b n"
+    assert core["fit"]["growth"]["value"] == pytest.approx(2e-6)
+    assert core["proof"]["size"] == 27_000
+    assert core["proof"]["proved"] is True
+    assert memory["fit"]["constant"]["value"] == pytest.approx(30.0)
+    assert (control["fit"], control["proof"]) == (None, None)
+    assert control["missing"] == "1 sizes measured; a fit needs 4"
+
+
+def test_budgets_are_in_the_units_of_their_quantities():
+    assert budget_of("core_share", Budgets()) == 0.043
+    assert budget_of("resident_mb", Budgets()) == pytest.approx(268.4, abs=0.1)
+    assert budget_of("bytes_in_s", Budgets()) == 4_096.0
+    assert budget_of("change_last_s", Budgets()) == 5.0
+    assert budget_of("ready_s", Budgets()) is None
+
+
+def test_each_slope_is_drawn_into_a_png(tmp_path):
+    pytest.importorskip("matplotlib")
+    from oatcart.scale.plots import draw_slopes
+
+    files = draw_slopes(analyse(measured()), tmp_path / "new", Budgets())
+    assert [path.name for path in files] == [
+        "nodes-conductor-core_share.png",
+        "nodes-conductor-resident_mb.png",
+        "routes-control-core_share.png",
+    ]
+    for path in files:
+        assert path.read_bytes().startswith(b"\x89PNG")
+
+
+def test_a_run_prints_tables_and_keeps_json(tmp_path, monkeypatch, capsys):
+    asked = []
+
+    class Runs:
+        """Stands in for oatcart.scale.runs."""
+
+        @staticmethod
+        def measure(settings, quick, dimensions, progress):
+            asked.append((settings.seed, quick, dimensions))
+            progress("nodes: 500")
+            return measured()
+
+    monkeypatch.setitem(sys.modules, "oatcart.scale.runs", Runs)
+    path = tmp_path / "out.json"
+    arguments = ["run", str(ROOT / "deploy" / "scale.yaml"), "--quick", "--dimension", "nodes"]
+    assert command.main([*arguments, "--json", str(path)]) == 0
+    assert asked == [(1, True, ["nodes"])]
+    printed = capsys.readouterr()
+    assert "27,000" in printed.out
+    assert printed.err == "nodes: 500\n"
+    assert from_json(json.dumps(json.loads(path.read_text())["measurements"])) == measured()
+
+
+def test_an_unusable_file_ends_with_2_and_all_errors(tmp_path, capsys):
+    (tmp_path / "s.yaml").write_text("seed: x\nfleet:\n  zones: 3\n")
+    assert command.main(["run", str(tmp_path / "s.yaml")]) == 2
+    errors = capsys.readouterr().err.splitlines()
+    assert [line.partition("s.yaml")[2][:3] for line in errors] == [":1:", ":3:"]
+
+
+def test_a_dimension_without_sizes_ends_with_2(tmp_path, capsys):
+    (tmp_path / "s.yaml").write_text("quick:\n  sizes:\n    nodes: [10, 20, 30, 40, 50]\n")
+    assert command.main(["run", str(tmp_path / "s.yaml"), "--quick", "--dimension", "tenants"]) == 2
+    assert "quick.sizes has no tenants; it has nodes" in capsys.readouterr().err
+
+
+def test_plan_summarises_the_fleet_and_its_day(tmp_path, capsys):
+    (tmp_path / "s.yaml").write_text(
+        "fleet:\n  nodes: 200\n  services: 20\n  zones: 4\n  regions: 2\n"
+        "day:\n  failures: 3\n  restarts: 10\n  changes: 70\n"
+    )
+    assert command.main(["plan", str(tmp_path / "s.yaml")]) == 0
+    printed = capsys.readouterr().out
+    assert "nodes: 200 in 20 services, 4 zones" in printed
+    assert "ConfigurationChanged: 70" in printed
+    assert "NodeDraining: 10" in printed
+
+
+def test_a_day_without_room_ends_with_2(tmp_path, capsys):
+    (tmp_path / "s.yaml").write_text(
+        "fleet:\n  nodes: 20\n  services: 6\n  zones: 2\n  regions: 2\n"
+        "day:\n  failures: 0\n  restarts: 500\n  restart_for: 60m\n  rack_losses: 0\n"
+    )
+    assert command.main(["plan", str(tmp_path / "s.yaml")]) == 2
+    assert "day: 500 restarts find no room on 20 nodes" in capsys.readouterr().err
+
+
+def test_matplotlib_and_the_runs_are_loaded_only_when_asked_for():
+    code = (
+        "import sys, oatcart.scale.__main__\n"
+        "print([name for name in ('matplotlib', 'oatcart.scale.runs', 'oatcart.net') if name in sys.modules])"
+    )
+    ran = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert ran.stdout == "[]\n"
