Subsets of the fleet by rendezvous hashing with bounded loads

Need: no conductor is to know the whole fleet; control machines that know the same must decide the same views, of a stated size, balanced, in two zones, and a change must move little.

--- /dev/null
+++ b/oatcart/views/matching.py
@@ -0,0 +1,363 @@
+"""The matching of one service kept up to date: who of many conductors holds which nodes.
+
+The outcome is the one of `greedy.match_all` for the records as they are, whatever came before. A change is
+settled by mending only what it disturbed: a conductor with a seat left takes the best nodes that let it in,
+and a node with a place left takes the best conductors that want it, until nothing is left to mend. Each step
+replaces a pair by one with a smaller key, so this ends; and as the stable matching is unique, it ends where
+going through all pairs would end.
+"""
+
+from collections.abc import Iterator
+
+import numpy
+
+from oatcart.views.greedy import Service, match_all
+from oatcart.views.keys import name_hash, pair_keys, unit_hash
+from oatcart.views.places import expected_holders, most_holders
+from oatcart.views.records import Member
+from oatcart.views.slots import Slots
+
+_NO_ZONE = -1
+
+
+class Matching:
+    """Conductors with seats, nodes with places, and the pairs of them that hold.
+
+    `add_*`, `remove_*` and `resize_viewer` note changes, `settle` or `rebuild` works them out. `touched` are
+    the conductors that may hold other nodes than before; who reads them clears them.
+    """
+
+    def __init__(self, overload: float, seed: int) -> None:
+        self._overload = overload
+        self._seed = seed
+        self.viewers = Slots()
+        self.members = Slots()
+        self.touched: set[str] = set()
+        self._zone_numbers: dict[tuple[str, str], int] = {}
+        self._several_zones = False  # whether the service has nodes in two zones or more
+        self._seekers: set[int] = set()  # conductors with a seat left
+        self._freed: set[int] = set()  # nodes with a place left that some conductor may want
+
+        self._viewer_hashes = numpy.zeros(0, dtype=numpy.uint64)
+        self._seats = numpy.zeros(0, dtype=numpy.int64)  # 0: the number is free
+        self._bounds = numpy.zeros(0)  # a conductor wants a node with a smaller key than this
+
+        self._member_hashes = numpy.zeros(0, dtype=numpy.uint64)
+        self._sizes = numpy.ones(0)
+        self._zones = numpy.zeros(0, dtype=numpy.int64)  # _NO_ZONE: the number is free
+        self._roundings = numpy.zeros(0)
+        self._places = numpy.zeros(0, dtype=numpy.int64)
+        self._loads = numpy.zeros(0, dtype=numpy.int64)  # holders
+        self._admits = numpy.zeros(0)  # a node lets in a conductor with a smaller key than this
+
+        self._held = numpy.zeros((0, 0), dtype=bool)
+
+    # What holds.
+
+    def held_by(self, name: str) -> list[str]:
+        """The nodes that a conductor holds."""
+        nodes = numpy.flatnonzero(self._held[self.viewers.number_of[name]])
+        return [self.members.names[node] for node in nodes.tolist()]
+
+    def holders_of(self, member_id: str) -> list[str]:
+        """The conductors that hold a node."""
+        viewers = numpy.flatnonzero(self._held[:, self.members.number_of[member_id]])
+        return [self.viewers.names[viewer] for viewer in viewers.tolist()]
+
+    def members_without_holder(self) -> list[str]:
+        """The nodes that no conductor holds."""
+        nodes = numpy.flatnonzero((self._zones != _NO_ZONE) & (self._loads == 0))
+        return [self.members.names[node] for node in nodes.tolist()]
+
+    def load_of(self, member_id: str) -> int:
+        """How many conductors hold a node."""
+        return int(self._loads[self.members.number_of[member_id]])
+
+    def keys_of_viewer(self, name: str, member_ids: list[str]) -> list[float]:
+        """The keys of one conductor's pairs with these nodes."""
+        nodes = numpy.array(
+            [self.members.number_of[member_id] for member_id in member_ids], dtype=numpy.int64
+        )
+        return self._keys(self.viewers.number_of[name], nodes).tolist()
+
+    def keys_of_member(self, member_id: str) -> Iterator[tuple[float, str]]:
+        """The key and the name of each conductor with seats, for one node."""
+        keys = self._keys(slice(None), self.members.number_of[member_id])
+        for name, viewer in self.viewers.number_of.items():
+            yield float(keys[viewer]), name
+
+    # Changes.
+
+    def add_viewer(self, name: str, seats: int) -> None:
+        """A conductor comes with this many seats, at least one."""
+        viewer = self.viewers.take(name)
+        self._make_room()
+        self._viewer_hashes[viewer] = name_hash("viewer", name, self._seed)
+        self._seats[viewer] = seats
+        self._bounds[viewer] = numpy.inf
+        self._seekers.add(viewer)
+        self.touched.add(name)
+
+    def remove_viewer(self, name: str) -> None:
+        """A conductor goes, and its places are free again."""
+        viewer = self.viewers.release(name)
+        self._release_all(viewer)
+        self._seats[viewer] = 0
+        self._bounds[viewer] = -numpy.inf
+        self._seekers.discard(viewer)
+        self.touched.discard(name)
+
+    def resize_viewer(self, name: str, seats: int) -> None:
+        """A conductor has another number of seats: it chooses anew, before anyone else does."""
+        viewer = self.viewers.number_of[name]
+        self._release_all(viewer)
+        self._seats[viewer] = seats
+        self._seek(viewer)
+
+    def add_member(self, member: Member) -> None:
+        """A node comes."""
+        node = self.members.take(member.id)
+        self._make_room()
+        zone = self._zone_numbers.setdefault((member.region, member.zone), len(self._zone_numbers))
+        self._member_hashes[node] = name_hash("member", member.id, self._seed)
+        self._sizes[node] = member.size
+        self._zones[node] = zone
+        self._roundings[node] = unit_hash("rounding", member.id, self._seed)
+        self._admits[node] = numpy.inf
+        self._freed.add(node)
+
+    def remove_member(self, member_id: str) -> None:
+        """A node goes, and its holders have a seat left."""
+        node = self.members.release(member_id)
+        for viewer in numpy.flatnonzero(self._held[:, node]).tolist():
+            self._seek(viewer)
+        self._held[:, node] = False
+        self._loads[node] = 0
+        self._places[node] = 0
+        self._zones[node] = _NO_ZONE
+        self._admits[node] = -numpy.inf
+        self._freed.discard(node)
+
+    # Working them out.
+
+    def rebuild(self) -> None:
+        """Match all anew; `touched` are then the conductors that hold other nodes than before."""
+        viewers = numpy.flatnonzero(self._seats)
+        nodes = numpy.flatnonzero(self._zones != _NO_ZONE)
+        self._set_places()
+        service = Service(
+            self._viewer_hashes[viewers],
+            self._seats[viewers],
+            self._member_hashes[nodes],
+            self._sizes[nodes],
+            self._zones[nodes],
+            self._places[nodes],
+        )
+        before = self._held
+        self._held = numpy.zeros_like(before)
+        if len(viewers) and len(nodes):
+            self._held[numpy.ix_(viewers, nodes)] = match_all(service)
+        for viewer in numpy.flatnonzero((before != self._held).any(axis=1)).tolist():
+            self._touch(viewer)
+        self._seekers.clear()
+        self._freed.clear()
+        self._measure()
+
+    def settle(self) -> None:
+        """Mend what the changes since the last time disturbed."""
+        had_several_zones = self._several_zones
+        self._set_places()
+        if self._several_zones != had_several_zones:
+            self.rebuild()
+            return
+        for node in numpy.flatnonzero(self._loads > self._places).tolist():
+            while self._loads[node] > self._places[node]:
+                self._evict_worst(node)
+            self._measure_node(node)
+        has_room = self._loads < self._places
+        self._freed.update(numpy.flatnonzero(has_room & numpy.isfinite(self._admits)).tolist())
+        self._admits[has_room] = numpy.inf
+        for node in numpy.flatnonzero(~has_room & numpy.isposinf(self._admits)).tolist():
+            self._measure_node(node)
+        while self._seekers or self._freed:
+            if self._seekers:
+                self._fill_viewer(self._seekers.pop())
+            else:
+                self._fill_node(self._freed.pop())
+
+    def _fill_viewer(self, viewer: int) -> None:
+        """A conductor chooses anew among the nodes that it holds and those that let it in."""
+        keys = self._keys(viewer, slice(None))
+        held = self._held[viewer]
+        keys[~held & (keys >= self._admits)] = numpy.inf
+        chosen = self._choice(keys, int(self._seats[viewer]))
+        is_chosen = numpy.zeros_like(held)
+        is_chosen[chosen] = True
+        for node in numpy.flatnonzero(held & ~is_chosen).tolist():
+            self._part(viewer, node)
+        for node in numpy.flatnonzero(~held & is_chosen).tolist():
+            self._pair(viewer, node)
+            if self._loads[node] > self._places[node]:
+                self._evict_worst(node)
+            self._measure_node(node)
+        self._measure_viewer(viewer)
+
+    def _choice(self, keys: numpy.ndarray, seats: int) -> numpy.ndarray:
+        """The nodes of the smallest finite keys; where all were in one zone, the last is of another zone or
+        none."""
+        nearest = _smallest(keys, seats)
+        zones = self._zones[nearest]
+        if not self._several_zones or seats < 2 or len(nearest) < seats or (zones != zones[0]).any():
+            return nearest
+        elsewhere = numpy.where(self._zones != zones[0], keys, numpy.inf)
+        return numpy.concatenate([nearest[:-1], _smallest(elsewhere, 1)])
+
+    def _fill_node(self, node: int) -> None:
+        """A node takes the best conductors that want it, also in place of holders that came to it
+        meanwhile."""
+        self._measure_node(node)
+        keys = self._keys(slice(None), node)
+        keys[self._held[:, node] | (keys >= self._bounds) | (keys >= self._admits[node])] = numpy.inf
+        for viewer in _smallest(keys, len(keys)).tolist():
+            if keys[viewer] >= self._admits[node]:
+                break
+            if self._take_instead(viewer, node, keys[viewer]):
+                if self._loads[node] > self._places[node]:
+                    self._evict_worst(node)
+                if self._loads[node] == self._places[node]:
+                    self._measure_node(node)
+
+    def _take_instead(self, viewer: int, node: int, key: float) -> bool:
+        """A conductor takes a node in a free seat or in place of a worse one; False where neither can be."""
+        rivals = self._rivals(viewer, node)
+        if len(rivals):
+            rival_keys = self._keys(viewer, rivals)
+            worst = int(numpy.argmax(rival_keys))
+            if rival_keys[worst] <= key:
+                return False
+            self._part(viewer, int(rivals[worst]))
+        self._pair(viewer, node)
+        self._measure_viewer(viewer)
+        return True
+
+    def _rivals(self, viewer: int, node: int) -> numpy.ndarray:
+        """The nodes of which the conductor would give one up for this node; none where it has a seat for
+        it."""
+        held = numpy.flatnonzero(self._held[viewer])
+        seats = int(self._seats[viewer])
+        if self._several_zones and seats > 1:
+            same_zone = held[self._zones[held] == self._zones[node]]
+            if len(same_zone) == seats - 1:
+                return same_zone
+        return held if len(held) == seats else held[:0]
+
+    def _evict_worst(self, node: int) -> None:
+        """The holder with the largest key gives the node up and seeks another."""
+        holders = numpy.flatnonzero(self._held[:, node])
+        worst = int(holders[numpy.argmax(self._keys(holders, node))])
+        self._held[worst, node] = False
+        self._loads[node] -= 1
+        self._seek(worst)
+
+    def _pair(self, viewer: int, node: int) -> None:
+        self._held[viewer, node] = True
+        self._loads[node] += 1
+        self._touch(viewer)
+
+    def _part(self, viewer: int, node: int) -> None:
+        """A conductor gives up a node, whose place others may have wanted if it was full."""
+        self._held[viewer, node] = False
+        self._loads[node] -= 1
+        if numpy.isfinite(self._admits[node]):
+            self._admits[node] = numpy.inf
+            self._freed.add(node)
+        self._touch(viewer)
+
+    def _release_all(self, viewer: int) -> None:
+        for node in numpy.flatnonzero(self._held[viewer]).tolist():
+            self._part(viewer, node)
+
+    def _seek(self, viewer: int) -> None:
+        self._seekers.add(viewer)
+        self._bounds[viewer] = numpy.inf
+        self._touch(viewer)
+
+    def _touch(self, viewer: int) -> None:
+        name = self.viewers.names[viewer]
+        if name is not None:
+            self.touched.add(name)
+
+    # Sums kept beside the pairs.
+
+    def _keys(self, viewers: object, nodes: object) -> numpy.ndarray:
+        return pair_keys(self._viewer_hashes[viewers], self._member_hashes[nodes], self._sizes[nodes])
+
+    def _set_places(self) -> None:
+        nodes = self._zones != _NO_ZONE
+        zones = self._zones[nodes]
+        self._several_zones = bool((zones != zones[:1]).any())
+        viewers = int(numpy.count_nonzero(self._seats))
+        expected = expected_holders(self._sizes[nodes], int(self._seats.sum()), viewers)
+        self._places[nodes] = most_holders(expected, viewers, self._overload, self._roundings[nodes])
+
+    def _measure_viewer(self, viewer: int) -> None:
+        held = numpy.flatnonzero(self._held[viewer])
+        is_full = len(held) >= self._seats[viewer]
+        self._bounds[viewer] = self._keys(viewer, held).max(initial=-numpy.inf) if is_full else numpy.inf
+
+    def _measure_node(self, node: int) -> None:
+        if self._loads[node] < self._places[node]:
+            self._admits[node] = numpy.inf
+        else:
+            holders = numpy.flatnonzero(self._held[:, node])
+            self._admits[node] = self._keys(holders, node).max(initial=-numpy.inf)
+
+    def _measure(self) -> None:
+        """Loads, bounds and what nodes let in, for all at once."""
+        viewers, nodes = numpy.nonzero(self._held)
+        keys = self._keys(viewers, nodes)
+        self._loads = self._held.sum(axis=0, dtype=numpy.int64)
+        counts = self._held.sum(axis=1)
+        self._bounds[:] = -numpy.inf
+        numpy.maximum.at(self._bounds, viewers, keys)
+        self._bounds[counts < self._seats] = numpy.inf
+        self._admits[:] = -numpy.inf
+        numpy.maximum.at(self._admits, nodes, keys)
+        self._admits[self._loads < self._places] = numpy.inf
+
+    def _make_room(self) -> None:
+        """Arrays as long as there are numbers, and twice as long as before when they grow."""
+        viewers, nodes = self._held.shape
+        if len(self.viewers.names) > viewers:
+            viewers = 2 * len(self.viewers.names)
+        if len(self.members.names) > nodes:
+            nodes = 2 * len(self.members.names)
+        if (viewers, nodes) == self._held.shape:
+            return
+        held = numpy.zeros((viewers, nodes), dtype=bool)
+        held[: self._held.shape[0], : self._held.shape[1]] = self._held
+        self._held = held
+        self._viewer_hashes = _grown(self._viewer_hashes, viewers, 0)
+        self._seats = _grown(self._seats, viewers, 0)
+        self._bounds = _grown(self._bounds, viewers, -numpy.inf)
+        self._member_hashes = _grown(self._member_hashes, nodes, 0)
+        self._sizes = _grown(self._sizes, nodes, 1.0)
+        self._zones = _grown(self._zones, nodes, _NO_ZONE)
+        self._roundings = _grown(self._roundings, nodes, 0.0)
+        self._places = _grown(self._places, nodes, 0)
+        self._loads = _grown(self._loads, nodes, 0)
+        self._admits = _grown(self._admits, nodes, -numpy.inf)
+
+
+def _grown(array: numpy.ndarray, length: int, fill: float) -> numpy.ndarray:
+    grown = numpy.full(length, fill, dtype=array.dtype)
+    grown[: len(array)] = array
+    return grown
+
+
+def _smallest(keys: numpy.ndarray, count: int) -> numpy.ndarray:
+    """The numbers of the `count` smallest finite keys, from the smallest up; fewer where fewer are finite."""
+    finite = numpy.flatnonzero(numpy.isfinite(keys))
+    if len(finite) > count:
+        finite = finite[numpy.argpartition(keys[finite], count)[:count]]
+    return finite[numpy.argsort(keys[finite])]
--- /dev/null
+++ b/oatcart/views/places.py
@@ -0,0 +1,40 @@
+"""How many conductors a node of a service is meant to be told to, and how many at most.
+
+The seats that conductors have for a service are shared in proportion to the nodes' sizes; a node that would
+get more holders than there are conductors gets them all, and the rest is shared among the others.
+"""
+
+import numpy
+
+
+def expected_holders(sizes: numpy.ndarray, seats: int, viewers: int) -> numpy.ndarray:
+    """The proportional number of holders of each node, for `seats` seats in all of `viewers` conductors.
+
+    >>> expected_holders(numpy.array([1.0, 1.0, 8.0]), 6, 3).tolist()
+    [1.5, 1.5, 3.0]
+    """
+    expected = numpy.zeros(len(sizes))
+    open_members = numpy.ones(len(sizes), dtype=bool)
+    seats_left = float(seats)
+    while open_members.any():
+        expected[open_members] = sizes[open_members] * (seats_left / sizes[open_members].sum())
+        beyond = open_members & (expected >= viewers)
+        if not beyond.any():
+            break
+        expected[beyond] = viewers
+        open_members &= ~beyond
+        seats_left -= viewers * int(beyond.sum())
+    return expected
+
+
+def most_holders(
+    expected: numpy.ndarray, viewers: int, overload: float, rounding: numpy.ndarray
+) -> numpy.ndarray:
+    """The bound on each node's holders: `overload` times the expected number, and at least that number
+    rounded up.
+
+    `rounding`, from 0 up to 1 for each node, decides where its bound steps down to a whole number, so that a
+    conductor or node that comes or goes shifts the bounds of a few nodes only, not of all at once.
+    """
+    bound = numpy.maximum(numpy.floor(expected * overload - rounding), numpy.ceil(expected))
+    return numpy.minimum(bound, viewers).astype(numpy.int64)
--- /dev/null
+++ b/oatcart/views/records.py
@@ -0,0 +1,80 @@
+"""The records that views are decided from, the bounds of a view, and the errors."""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+
+class Member(NamedTuple):
+    """A node as discovery lists it.
+
+    `size` is its relative capacity (above zero, no unit). `ready` is False while the node drains.
+    A zone lies in one region; the same zone name in two regions names two zones.
+    """
+
+    id: str
+    region: str
+    zone: str
+    service: str
+    size: float
+    ready: bool
+
+
+class Viewer(NamedTuple):
+    """A conductor that is told of a part of the fleet. No `services` means that it needs all of them."""
+
+    name: str
+    region: str
+    zone: str
+    services: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class ViewLimits:
+    """The bounds of one view, and of how unevenly views may hold nodes.
+
+    `most_members` counts nodes, ready and draining. `most_bytes` bounds the list as it is served, of which
+    one entry takes at most `most_entry_bytes`. `overload` is how many times its proportional number of
+    holders a node may have.
+    """
+
+    most_members: int = 500
+    most_bytes: int = 70_000
+    most_entry_bytes: int = 145
+    overload: float = 1.25
+
+    @property
+    def capacity(self) -> int:
+        """The number of nodes that keeps both bounds whatever the entries are."""
+        return min(self.most_members, self.most_bytes // self.most_entry_bytes)
+
+
+class ViewError(Exception):
+    """A view cannot be decided."""
+
+
+class UnknownViewer(ViewError):
+    """No conductor of that name is known."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f"no conductor named {name!r} is known")
+        self.name = name
+
+
+class InvalidMember(ViewError):
+    """A node's record cannot be used: its size is not a finite number above zero."""
+
+    def __init__(self, member: Member) -> None:
+        super().__init__(f"node {member.id!r} has size {member.size!r}, not a finite number above zero")
+        self.member = member
+
+
+class TooManyServices(ViewError):
+    """A conductor's services do not fit in its view at two nodes each (one, where a service has one)."""
+
+    def __init__(self, name: str, needed: int, capacity: int) -> None:
+        super().__init__(
+            f"conductor {name!r} needs {needed} nodes for two of each service, its view holds {capacity}"
+        )
+        self.name = name
+        self.needed = needed
+        self.capacity = capacity
