scale: a stand-in discovery in a process of its own that counts bytes and times changes

Need: costs of a fleet are measured under one discovery whose own cost stands apart. Result: tests/scale/test_scale_discovery.py passes, with an outage, a process that died and an unknown command.

--- /dev/null
+++ b/oatcart/scale/children.py
@@ -0,0 +1,214 @@
+"""Helper processes of a measured run: started with a pipe for commands, ended by whoever started them.
+
+A child reads commands as JSON lines from its standard input and answers each with one JSON line. It ends at
+the end of its input, so it outlives neither its parent nor an interrupted run. Its processor time and
+memory are read from /proc and are its own role's.
+"""
+
+import ctypes
+import os
+import select
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Mapping, Sequence
+from contextlib import suppress
+from pathlib import Path
+from types import TracebackType
+
+import orjson
+
+ANSWER_WITHIN_S = 60.0  # for one command; the longest sets up thousands of nodes
+END_WITHIN_S = 3.0  # from SIGTERM to SIGKILL
+SHOWN_OF_ERRORS = 2000  # letters of a child's standard error in an error message
+MEGABYTE = 1e6
+_SET_PARENT_DEATH_SIGNAL = 1  # prctl's PR_SET_PDEATHSIG
+_LIBC = ctypes.CDLL(None, use_errno=True)
+
+
+class ChildError(RuntimeError):
+    """A child process that ended early, answered with an error or did not answer in time."""
+
+
+class Interrupted(BaseException):
+    """SIGTERM came during a run; no Exception, like KeyboardInterrupt, so that only clean-up sees it."""
+
+
+def core_seconds(pid: int) -> float:
+    """Processor seconds that a process has used, from the scheduler's nanosecond count; raises OSError."""
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+
+
+def resident_megabytes(pid: int) -> float:
+    """Resident memory of a process in megabytes (10^6 bytes); raises OSError when it has ended."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / MEGABYTE
+
+
+def end_with_parent() -> None:
+    """Runs in a new process before its program: the kernel ends it when its parent dies, however it dies."""
+    _LIBC.prctl(_SET_PARENT_DEATH_SIGNAL, signal.SIGTERM)
+
+
+class ChildProcess:
+    """A process that is ended at the latest when its `with` block is left.
+
+    Its standard error goes to a temporary file, as a pipe that nobody reads would stop it.
+    """
+
+    def __init__(
+        self, command: Sequence[str], environment: Mapping[str, str] | None = None, pipes: bool = False
+    ) -> None:
+        self.started_at = time.monotonic()
+        self.errors = tempfile.TemporaryFile()  # noqa: SIM115 - closed by `end`
+        pipe = subprocess.PIPE if pipes else subprocess.DEVNULL
+        self.process = subprocess.Popen(
+            command,
+            stdin=pipe,
+            stdout=pipe,
+            stderr=self.errors,
+            preexec_fn=end_with_parent,
+            start_new_session=True,
+            env={**os.environ, **(environment or {})},
+        )
+
+    @property
+    def pid(self) -> int:
+        return self.process.pid
+
+    @property
+    def running(self) -> bool:
+        return self.process.poll() is None
+
+    def error_text(self) -> str:
+        """What the process has written to its standard error so far."""
+        with open(f"/proc/self/fd/{self.errors.fileno()}", "rb") as copy:  # an offset of its own
+            return copy.read().decode(errors="replace")
+
+    def core_seconds(self) -> float:
+        return core_seconds(self.pid)
+
+    def resident_megabytes(self) -> float:
+        return resident_megabytes(self.pid)
+
+    def end(self) -> None:
+        """Ends the process with SIGTERM, then with SIGKILL; a second call does nothing."""
+        if self.running:
+            self.process.terminate()
+            try:
+                self.process.wait(END_WITHIN_S)
+            except subprocess.TimeoutExpired:
+                self.process.kill()
+        self.process.wait()
+        for pipe in self.process.stdin, self.process.stdout:
+            if pipe is not None:
+                with suppress(BrokenPipeError):  # a command that a dead child did not read
+                    pipe.close()
+        self.errors.close()
+
+    def __enter__(self) -> "ChildProcess":
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.end()
+
+
+class Child(ChildProcess):
+    """A process that runs one of our modules and answers commands."""
+
+    def __init__(self, module: str, *arguments: str) -> None:
+        super().__init__([sys.executable, "-m", module, *arguments], pipes=True)
+        self.module = module
+        self._unread = bytearray()
+
+    def ask(self, command: str, **fields: object) -> dict:
+        """The answer to one command; raises ChildError."""
+        self.send(command, **fields)
+        return self.receive()
+
+    def send(self, command: str, **fields: object) -> None:
+        """Sends a command whose answer `receive` reads; raises ChildError."""
+        try:
+            self.process.stdin.write(orjson.dumps({"command": command, **fields}) + b"\n")
+            self.process.stdin.flush()
+        except BrokenPipeError:
+            raise self._failed("has ended") from None
+
+    def receive(self, within_s: float = ANSWER_WITHIN_S) -> dict:
+        """The oldest answer that was not read yet; raises ChildError."""
+        until = time.monotonic() + within_s
+        descriptor = self.process.stdout.fileno()
+        while b"\n" not in self._unread:
+            ready, _, _ = select.select([descriptor], [], [], max(0.0, until - time.monotonic()))
+            if not ready:
+                raise self._failed(f"did not answer within {within_s:.0f} s")
+            received = os.read(descriptor, 1 << 20)
+            if not received:
+                raise self._failed("has ended")
+            self._unread += received
+        line, _, rest = self._unread.partition(b"\n")
+        self._unread = bytearray(rest)
+        answer = orjson.loads(line)
+        if "error" in answer:
+            raise self._failed(answer["error"])
+        return answer
+
+    def _failed(self, what: str) -> ChildError:
+        return ChildError(f"{self.module} {what}\n{self.error_text()[-SHOWN_OF_ERRORS:]}")
+
+
+Commands = Mapping[str, Callable[..., dict | None]]
+
+
+def answer(line: bytes, commands: Commands) -> bytes:
+    """In a child: runs one command and encodes its answer; an error is answered, and the child goes on."""
+    try:
+        fields = orjson.loads(line)
+        told = commands[fields.pop("command")](**fields)
+        return orjson.dumps(told or {}, default=tuple) + b"\n"  # a NamedTuple as the tuple that it is
+    except Exception as error:
+        return orjson.dumps({"error": repr(error)}) + b"\n"
+
+
+class CommandReader:
+    """In a child: answers every command that has arrived on standard input."""
+
+    def __init__(self, commands: Commands) -> None:
+        self.commands = commands
+        self._unread = bytearray()
+
+    def read(self) -> bool:
+        """Answers what has arrived; False at the end of the input, when the child is to end."""
+        received = os.read(sys.stdin.fileno(), 1 << 20)
+        self._unread += received
+        while b"\n" in self._unread:
+            line, _, rest = self._unread.partition(b"\n")
+            self._unread = bytearray(rest)
+            write_whole(sys.stdout.fileno(), answer(bytes(line), self.commands))
+        return bool(received)
+
+
+def write_whole(descriptor: int, data: bytes) -> None:
+    """Writes all of the data to a blocking descriptor."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+def own_usage() -> dict:
+    """In a child: processor seconds and resident megabytes of this process."""
+    return {"core_s": core_seconds(os.getpid()), "resident_mb": resident_megabytes(os.getpid())}
+
+
+def ignore_interrupts() -> None:
+    """In a child: only its parent ends it, which reads the last figures first."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+
+
+def raise_interrupted(signal_number: int, frame: object) -> None:
+    """A handler for SIGTERM in the parent: leaves every `with` block, so that all children are ended."""
+    raise Interrupted(f"signal {signal_number}")
--- /dev/null
+++ b/oatcart/scale/discovery.py
@@ -0,0 +1,346 @@
+"""A stand-in discovery on loopback that counts what it serves: whole lists, watches, revisions, changes.
+
+It speaks the protocol of real discovery (`GET /v1/servers`, with `since` and `timeout_ms` a watch). Every
+client is given a port of its own, so bytes and messages are counted by client and no client needs to say
+who it is. Each entry is encoded once, and each answer once for all watchers of the same revision.
+
+A client *has* a change once it asks on from its revision: a conductor does so right after it has read the
+change. The process runs by itself (`python -m oatcart.scale.discovery`), so that its processor time is its
+own role's, and takes commands as in `children.py`. Several named lists may be served: one of all services,
+or one a service.
+"""
+
+import asyncio
+import socket
+import sys
+import time
+from bisect import bisect_right
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+
+from oatcart.net.codec import ROLL_PATH
+from oatcart.scale.children import Child, CommandReader, ignore_interrupts, own_usage
+
+LOOPBACK = "127.0.0.1"
+DELETED = "DELETED"
+MAIN_LIST = "all"  # the name of the list that holds every node
+END_OF_HEAD = b"\r\n\r\n"
+BACKLOG = 128
+WAIT_MOST_S = 60.0  # of a watch, by the protocol
+OK_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+NOT_FOUND = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+
+
+class NodeList:
+    """One list of nodes with its revisions; every entry is encoded once, when it is set."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._current: dict[str, bytes] = {}  # encoded entries of listed nodes, by id
+        self._log_revisions: list[int] = []  # ascending, one for each entry of _log
+        self._log: list[tuple[str, bytes]] = []  # every change since the start: id and encoded entry
+        self._encoded: dict[
+            int | None, bytes
+        ] = {}  # answers of this revision: by `since`; None is the whole list
+
+    def change(self, entries: Iterable[Mapping]) -> int:
+        """Sets some entries in one new revision, which is returned; an entry whose phase is DELETED goes."""
+        self.revision += 1
+        self._encoded.clear()
+        for entry in entries:
+            encoded = orjson.dumps(entry)
+            self._log.append((entry["id"], encoded))
+            self._log_revisions.append(self.revision)
+            if entry.get("phase") == DELETED:
+                self._current.pop(entry["id"], None)
+            else:
+                self._current[entry["id"]] = encoded
+        return self.revision
+
+    def whole(self) -> bytes:
+        """The answer with every listed node."""
+        if None not in self._encoded:
+            self._encoded[None] = self._answer(True, self._current.values())
+        return self._encoded[None]
+
+    def changes(self, since: int) -> bytes:
+        """The answer with the entries changed after a revision; the whole list from revision 0 on."""
+        if since <= 0:
+            return self.whole()
+        if since not in self._encoded:
+            first = bisect_right(self._log_revisions, since)
+            changed = dict(self._log[first:])  # of several changes of a node the last one
+            self._encoded[since] = self._answer(False, changed.values())
+        return self._encoded[since]
+
+    def _answer(self, complete: bool, entries: Collection[bytes]) -> bytes:
+        head = b'{"revision":%d,"complete":%s,"members":[' % (
+            self.revision,
+            b"true" if complete else b"false",
+        )
+        return head + b",".join(entries) + b"]}"
+
+
+class HeldRevision(NamedTuple):
+    """At a moment (monotonic seconds) a client had a revision, and had been sent so many bytes in all."""
+
+    at: float
+    revision: int
+    bytes_sent: int
+
+
+@dataclass
+class ClientAccount:
+    """What one client has sent and was sent, in bytes and HTTP messages, and which revisions it had when."""
+
+    list_name: str
+    bytes_received: int = 0
+    bytes_sent: int = 0
+    messages_received: int = 0
+    messages_sent: int = 0
+    held: list[HeldRevision] = field(default_factory=list)
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection of a client; calls are answered in the order of their coming."""
+
+    def __init__(self, service: "DiscoveryService", account: ClientAccount) -> None:
+        self.service, self.account = service, account
+        self.nodes = service.lists[account.list_name]
+        self.unread = b""
+        self.since: int | None = None  # of the watch that waits here
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.service.connections.add(self)
+        if self.service.down:
+            transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.service.connections.discard(self)
+        self._end_wait()
+
+    def data_received(self, data: bytes) -> None:
+        self.account.bytes_received += len(data)
+        self.unread += data
+        while END_OF_HEAD in self.unread:
+            head, _, self.unread = self.unread.partition(END_OF_HEAD)
+            self.account.messages_received += 1
+            self._call(head.split(b" ", 2)[1].decode())
+
+    def _call(self, target: str) -> None:
+        url = urlsplit(target)
+        if url.path != ROLL_PATH:
+            self._send(NOT_FOUND)
+            return
+        query = parse_qs(url.query)
+        if "since" not in query:
+            self._answer(self.nodes.whole())
+            return
+        since, wait_s = int(query["since"][0]), float(query.get("timeout_ms", ["0"])[0]) / 1000
+        self.account.held.append(HeldRevision(time.monotonic(), since, self.account.bytes_sent))
+        if self.nodes.revision > since or wait_s <= 0:
+            self._answer(self.nodes.changes(since))
+            return
+        self.since = since
+        self.timer = self.service.loop.call_later(min(wait_s, WAIT_MOST_S), self.answer_watch)
+        self.service.waiting[self.account.list_name][self] = None
+
+    def answer_watch(self) -> None:
+        """Ends the wait of a watch: with what is newer, or with no entries when its time is over."""
+        since = self.since
+        self._end_wait()
+        self._answer(self.nodes.changes(since) if since else self.nodes.whole())
+
+    def _end_wait(self) -> None:
+        self.service.waiting[self.account.list_name].pop(self, None)
+        self.since = None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def _answer(self, body: bytes) -> None:
+        self._send(OK_HEAD % len(body) + body)
+
+    def _send(self, data: bytes) -> None:
+        self.account.bytes_sent += len(data)
+        self.account.messages_sent += 1
+        self.transport.write(data)
+
+
+class DiscoveryService:
+    """All lists and clients of the stand-in; its methods without an underscore are commands."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.lists: dict[str, NodeList] = {}
+        self.accounts: dict[str, ClientAccount] = {}
+        self.connections: set[ClientConnection] = set()
+        self.waiting: dict[str, dict[ClientConnection, None]] = {}  # watches by list, oldest first
+        self.changed_at: dict[
+            str, list[float]
+        ] = {}  # by list: when each revision was made, from revision 1 on
+        self.down = False
+        self.servers: list[asyncio.Task] = []  # kept, as the loop holds tasks weakly
+
+    def change(self, entries: list[dict], list_name: str = MAIN_LIST) -> dict:
+        """One new revision of a list, told to all its watchers."""
+        nodes = self.lists.setdefault(list_name, NodeList())
+        waiting = self.waiting.setdefault(list_name, {})
+        at = time.monotonic()
+        revision = nodes.change(entries)
+        self.changed_at.setdefault(list_name, []).append(at)
+        for connection in list(waiting):
+            connection.answer_watch()
+        return {"revision": revision, "at": at}
+
+    def outage(self, down: bool) -> dict:
+        """Resets all connections and every new one, until told otherwise; lists and revisions stay."""
+        self.down = down
+        for connection in list(self.connections) if down else ():
+            connection.transport.abort()
+        return {}
+
+    def figures(self) -> dict:
+        """The process's usage, and of every client its bytes and messages."""
+        return {
+            "usage": own_usage(),
+            "clients": {
+                name: [one.bytes_received, one.bytes_sent, one.messages_received, one.messages_sent]
+                for name, one in self.accounts.items()
+            },
+        }
+
+    def held(self) -> dict:
+        """When each revision of each list was made, and which revisions each client had when."""
+        return {
+            "changed_at": self.changed_at,
+            "clients": {name: [one.list_name, one.held] for name, one in self.accounts.items()},
+        }
+
+    def open(self, clients: list[str], list_name: str) -> dict:
+        """A port for each client of one list."""
+        self.lists.setdefault(list_name, NodeList())
+        self.waiting.setdefault(list_name, {})
+        return {"ports": {client: self._open(client, list_name) for client in clients}}
+
+    def _open(self, client: str, list_name: str) -> int:
+        account = self.accounts.setdefault(client, ClientAccount(list_name))
+        listener = socket.create_server((LOOPBACK, 0), backlog=BACKLOG)  # takes connections from here on
+        serving = self.loop.create_server(lambda: ClientConnection(self, account), sock=listener)
+        self.servers.append(self.loop.create_task(serving))
+        return listener.getsockname()[1]
+
+
+class ClientFigures(NamedTuple):
+    """Bytes and messages between one client and discovery, as the client sees them."""
+
+    bytes_out: int
+    bytes_in: int
+    messages_out: int
+    messages_in: int
+
+
+class Usage(NamedTuple):
+    """Processor seconds since a process started, and its resident megabytes."""
+
+    core_s: float
+    resident_mb: float
+
+
+class DiscoveryFigures(NamedTuple):
+    """One reading of the stand-in: its own usage and the traffic of each client."""
+
+    usage: Usage
+    clients: dict[str, ClientFigures]
+
+
+class HeldFigures(NamedTuple):
+    """When revisions were made, by list, and which revisions each client had when."""
+
+    changed_at: dict[str, list[float]]
+    lists: dict[str, str]
+    held: dict[str, list[HeldRevision]]
+
+
+class Discovery(Child):
+    """The parent's side of the stand-in process."""
+
+    def __init__(self) -> None:
+        super().__init__("oatcart.scale.discovery")
+
+    def change(self, entries: list[dict], list_name: str = MAIN_LIST) -> int:
+        """Makes one revision of a list and returns its number."""
+        return self.ask("change", entries=entries, list_name=list_name)["revision"]
+
+    def open(self, clients: list[str], list_name: str = MAIN_LIST) -> dict[str, int]:
+        """Opens a port for each client; the list must have been set by `change`."""
+        return self.ask("open", clients=clients, list_name=list_name)["ports"]
+
+    def outage(self, down: bool) -> None:
+        """Begins or ends an outage: connections are reset and none is served."""
+        self.ask("outage", down=down)
+
+    def figures(self) -> DiscoveryFigures:
+        told = self.ask("figures")
+        clients = {name: ClientFigures(*figures) for name, figures in told["clients"].items()}
+        return DiscoveryFigures(Usage(**told["usage"]), clients)
+
+    def held(self) -> HeldFigures:
+        told = self.ask("held")
+        lists = {name: list_name for name, (list_name, _) in told["clients"].items()}
+        held = {name: [HeldRevision(*one) for one in some] for name, (_, some) in told["clients"].items()}
+        return HeldFigures(told["changed_at"], lists, held)
+
+
+def change_delays(
+    figures: HeldFigures, clients: Collection[str], after: float, until: float
+) -> tuple[list[float], int]:
+    """Seconds from each change made in a span to each client's having it; and how many were never had."""
+    delays: list[float] = []
+    missing = 0
+    for client in clients:
+        held = figures.held[client]
+        place = 0
+        for number, at in enumerate(figures.changed_at[figures.lists[client]], start=1):
+            if not after <= at < until:
+                continue
+            while place < len(held) and held[place].revision < number:
+                place += 1
+            if place == len(held):
+                missing += 1
+            else:
+                delays.append(held[place].at - at)
+    return delays, missing
+
+
+async def serve() -> None:
+    """The life of the stand-in process: until its input ends."""
+    loop = asyncio.get_running_loop()
+    service = DiscoveryService(loop)
+    ended = asyncio.Event()
+    commands = {
+        "change": service.change,
+        "open": service.open,
+        "outage": service.outage,
+        "figures": service.figures,
+        "held": service.held,
+    }
+    reader = CommandReader(commands)
+
+    def read_commands() -> None:
+        if not reader.read():
+            ended.set()
+
+    loop.add_reader(sys.stdin.fileno(), read_commands)
+    await ended.wait()
+
+
+if __name__ == "__main__":
+    ignore_interrupts()
+    asyncio.run(serve())
--- /dev/null
+++ b/tests/scale/test_scale_discovery.py
@@ -0,0 +1,178 @@
+"""The stand-in discovery: lists, watches, revisions, outages, counters."""
+
+import socket
+import time
+from contextlib import closing
+
+import orjson
+import pytest
+
+from oatcart.scale.children import ChildError
+from oatcart.scale.discovery import (
+    LOOPBACK,
+    Discovery,
+    HeldFigures,
+    HeldRevision,
+    NodeList,
+    change_delays,
+)
+
+NODE = {"id": "node-1", "host_port": "10.0.0.1:8080", "locality": "a", "phase": "SERVING"}
+OTHER = NODE | {"id": "node-2"}
+LONG_WAIT_MS = 20_000
+
+
+def read(answer: bytes) -> dict:
+    return orjson.loads(answer)
+
+
+def ids(answer: bytes) -> list[str]:
+    return [entry["id"] for entry in read(answer)["members"]]
+
+
+def test_a_whole_list_holds_what_is_listed_and_changes_hold_the_last_state() -> None:
+    nodes = NodeList()
+    nodes.change([NODE, OTHER])
+    nodes.change([NODE | {"phase": "DRAINING"}])
+    nodes.change([NODE | {"phase": "DELETED"}])
+    assert read(nodes.whole()) == {"revision": 3, "complete": True, "members": [OTHER]}
+    assert read(nodes.changes(1)) == {
+        "revision": 3,
+        "complete": False,
+        "members": [NODE | {"phase": "DELETED"}],
+    }
+    assert read(nodes.changes(3)) == {"revision": 3, "complete": False, "members": []}
+    assert nodes.changes(0) == nodes.whole()
+
+
+def test_a_node_that_returns_is_listed_again() -> None:
+    nodes = NodeList()
+    nodes.change([NODE])
+    nodes.change([NODE | {"phase": "DELETED"}])
+    nodes.change([NODE])
+    assert ids(nodes.whole()) == ["node-1"]
+
+
+class Caller:
+    """A client with one kept connection."""
+
+    def __init__(self, port: int) -> None:
+        self.socket = socket.create_connection((LOOPBACK, port), 5.0)
+        self.file = self.socket.makefile("rb")
+
+    def send(self, target: str) -> None:
+        self.socket.sendall(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+
+    def answer(self) -> dict:
+        status = self.file.readline()
+        if not status:
+            raise ConnectionResetError
+        length = 0
+        while (line := self.file.readline().strip()) != b"":
+            if line.lower().startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        body = self.file.read(length)
+        return orjson.loads(body) if b" 200 " in status else {"status": int(status.split()[1])}
+
+    def call(self, target: str) -> dict:
+        self.send(target)
+        return self.answer()
+
+    def close(self) -> None:
+        self.file.close()
+        self.socket.close()
+
+
+@pytest.fixture
+def discovery():
+    with Discovery() as running:
+        running.change([NODE, OTHER])
+        yield running
+
+
+def test_a_watch_is_answered_by_the_next_change_and_its_delay_is_known(discovery: Discovery) -> None:
+    port = discovery.open(["one"])["one"]
+    with closing(Caller(port)) as caller:
+        assert len(caller.call("/v1/servers?since=0&timeout_ms=0")["members"]) == 2
+        caller.send(f"/v1/servers?since=1&timeout_ms={LONG_WAIT_MS}")
+        began = time.monotonic()
+        discovery.change([NODE | {"phase": "DRAINING"}])
+        answer = caller.answer()
+        assert answer["revision"] == 2 and answer["members"] == [NODE | {"phase": "DRAINING"}]
+        caller.send(f"/v1/servers?since=2&timeout_ms={LONG_WAIT_MS}")
+        while discovery.held().held["one"][-1].revision != 2:
+            time.sleep(0.01)
+        delays, missing = change_delays(discovery.held(), ["one"], began, time.monotonic())
+        assert missing == 0 and len(delays) == 1 and 0 < delays[0] < 5.0
+
+
+def test_a_watch_ends_empty_when_its_time_is_over(discovery: Discovery) -> None:
+    with closing(Caller(discovery.open(["one"])["one"])) as caller:
+        began = time.monotonic()
+        assert caller.call("/v1/servers?since=1&timeout_ms=120") == {
+            "revision": 1,
+            "complete": False,
+            "members": [],
+        }
+        assert time.monotonic() - began >= 0.1
+
+
+def test_what_is_no_list_is_not_found(discovery: Discovery) -> None:
+    with closing(Caller(discovery.open(["one"])["one"])) as caller:
+        assert caller.call("/healthz") == {"status": 404}
+
+
+def test_clients_are_counted_each_by_itself(discovery: Discovery) -> None:
+    ports = discovery.open(["one", "two"])
+    with closing(Caller(ports["one"])) as caller:
+        answer = caller.call("/v1/servers")
+        caller.call("/v1/servers")
+    clients = discovery.figures().clients
+    assert clients["two"] == (0, 0, 0, 0)
+    assert clients["one"].messages_in == clients["one"].messages_out == 2
+    assert clients["one"].bytes_in > 2 * len(orjson.dumps(answer))
+
+
+def test_lists_are_apart(discovery: Discovery) -> None:
+    discovery.change([OTHER], "service-2")
+    with closing(Caller(discovery.open(["two"], "service-2")["two"])) as caller:
+        assert [entry["id"] for entry in caller.call("/v1/servers")["members"]] == ["node-2"]
+
+
+def test_an_outage_resets_connections_and_refuses_new_ones_until_it_ends(discovery: Discovery) -> None:
+    port = discovery.open(["one"])["one"]
+    with closing(Caller(port)) as caller:
+        caller.call("/v1/servers")
+        discovery.outage(True)
+        with pytest.raises(ConnectionError):
+            caller.call("/v1/servers")
+    with closing(Caller(port)) as caller, pytest.raises(ConnectionError):
+        caller.call("/v1/servers")
+    discovery.outage(False)
+    with closing(Caller(port)) as caller:
+        assert caller.call("/v1/servers")["revision"] == 1
+
+
+def test_an_unknown_command_is_an_error_and_the_process_goes_on(discovery: Discovery) -> None:
+    with pytest.raises(ChildError, match="KeyError"):
+        discovery.ask("nothing")
+    assert discovery.figures().usage.core_s > 0
+
+
+def test_a_process_that_died_is_an_error() -> None:
+    with Discovery() as discovery:
+        discovery.process.kill()
+        discovery.process.wait()
+        with pytest.raises(ChildError, match="has ended"):
+            discovery.figures()
+
+
+def test_a_change_that_a_client_never_had_is_counted_as_missing() -> None:
+    figures = HeldFigures(
+        {"all": [1.0, 2.0, 3.0]},
+        {"one": "all", "two": "all"},
+        {"one": [HeldRevision(2.5, 2, 0)], "two": [HeldRevision(1.1, 1, 0), HeldRevision(3.5, 3, 0)]},
+    )
+    delays, missing = change_delays(figures, ["one", "two"], 1.0, 4.0)
+    assert sorted(delays) == pytest.approx([0.1, 0.5, 0.5, 1.5, 1.5])
+    assert missing == 1
