scale: hollow conductors, hundreds on one loop, each under a meter of processor time

Need: a fleet larger than the machine has room for processes. Result: tests/scale/test_scale_hollow.py passes, 40 conductors on one list, an outage and a failing node among them.

--- /dev/null
+++ b/oatcart/scale/conductor_settings.py
@@ -0,0 +1,117 @@
+"""The settings and the entries that conductors of a measured fleet are given, and the changes made to the
+list.
+
+How the operators' words are read today: a *route* is one of a conductor's request classes (`grades`), which
+are bound to tables and of which a conductor has at most 16; a *tenant* has no state in a conductor, so
+tenants stand in the settings as one more object that it reads at its start and keeps; a *service* is a
+field of an entry that a conductor ignores.
+"""
+
+from collections.abc import Collection, Mapping
+from random import Random
+
+from oatcart.scale.fleet import PlannedNode
+
+ROUTES_MOST = 16  # request classes of a conductor: they are bits of one number, by the protocol's messages
+SERVING, DRAINING = "SERVING", "DRAINING"
+MACHINE_FLAVOR = "standard"
+MILLISECONDS = 1000.0
+WARM_AFTER_S = 10.0  # that a node needs after its start until it can be loaded fully
+
+
+def route_names(routes: int) -> tuple[str, ...]:
+    """The names of so many request classes."""
+    return tuple(f"route-{number:02}" for number in range(routes))
+
+
+def conductor_settings(
+    zones: Collection[str], routes: int, proxies: int, tenants: int = 0, warm_after_s: float = WARM_AFTER_S
+) -> dict:
+    """The settings of a conductor with so many request classes, proxies and tenants.
+
+    Every second request class keeps to its proxy's zone, so that there is more than one table. Probes are
+    off: hollow nodes do not listen. Raises ValueError for more routes than a conductor can have.
+    """
+    if not 1 <= routes <= ROUTES_MOST:
+        raise ValueError(f"{routes} routes are not 1 to {ROUTES_MOST}, the request classes of one conductor")
+    settings = {
+        "membershipMode": "subscribe",
+        "quantum": 2.0,
+        "zones": list(zones),
+        "grades": [
+            {"name": name, "worth": 1.0, "aim": 500.0, "deadline": 1200.0, "idempotency": "idempotent"}
+            for name in route_names(routes)
+        ],
+        "policyLimits": {"probes": False, "connectTimeout": 250.0},
+        "report": {"how": "inline", "fields": ["concurrent"]},
+        "rules": {
+            "askWithin": 10_000.0,
+            "cold": MILLISECONDS * warm_after_s,
+            "coldShare": 0.2,
+            "tipMultiple": 4.0,
+            "stopSendingWithin": 5_000.0,
+        },
+        "specifics": {
+            "proxyCount": proxies,
+            "period": 1000.0,
+            "pushRate": 3000.0,
+            "envelope": 4.0,
+            "queueCap": 4500.0,
+            "messagesMost": 12,
+            "updateWindow": 10_000.0,
+            "admit": "fraction",
+            "zoneBound": [route % 2 == 1 for route in range(routes)],
+        },
+        "penalties": {"crossZone": 0.1},
+    }
+    return settings | ({"tenants": _tenants(tenants)} if tenants else {})
+
+
+def _tenants(count: int) -> list[dict]:
+    return [
+        {"id": f"tenant-{number:06}", "route": number % ROUTES_MOST, "share": 1.0} for number in range(count)
+    ]
+
+
+def list_entry(node: PlannedNode, phase: str = SERVING, up_since_ms: float = 0.0) -> dict:
+    """A node's entry at discovery; `service` and `region` are extra fields that conductors ignore."""
+    return {
+        "id": node.id,
+        "host_port": node.address,
+        "locality": node.zone,
+        "flavor": MACHINE_FLAVOR,
+        "cell": 0,
+        "phase": phase,
+        "size": float(node.size),
+        "up_since_ms": up_since_ms,
+        "service": node.service,
+        "region": node.region,
+    }
+
+
+class NodeChanges:
+    """A sequence of changes of the list, one node each: a node drains; the next change restarts it, cold."""
+
+    def __init__(self, nodes: Collection[PlannedNode], seed: int) -> None:
+        self._nodes, self._random = list(nodes), Random(seed)
+        self._draining: PlannedNode | None = None
+
+    def next_entry(self, unix_s: float) -> dict:
+        """The changed entry of the next change, made at a Unix time in seconds."""
+        if self._draining is None:
+            self._draining = self._random.choice(self._nodes)
+            return list_entry(self._draining, DRAINING)
+        restarted, self._draining = self._draining, None
+        return list_entry(restarted, SERVING, unix_s * MILLISECONDS)
+
+
+def nodes_of_lists(
+    nodes: Collection[PlannedNode], by_service: bool, whole: str
+) -> Mapping[str, list[PlannedNode]]:
+    """The nodes of each list: one that is named `whole`, or one for each service."""
+    if not by_service:
+        return {whole: list(nodes)}
+    lists: dict[str, list[PlannedNode]] = {}
+    for node in nodes:
+        lists.setdefault(node.service, []).append(node)
+    return lists
--- /dev/null
+++ b/oatcart/scale/module_rounds.py
@@ -0,0 +1,132 @@
+"""What rounds cost by themselves: the decision module, its tables and the codec, with no socket.
+
+For lists that exceed the protocol's 1 MiB, which conductors on sockets refuse. Time is virtual: the module
+is handed ticks of its fleet's time as fast as it takes them, so a fleet that would need more than a core
+can be measured. The process (`python -m oatcart.scale.module_rounds`) takes one command as in
+`children.py`.
+"""
+
+import os
+import sys
+import time
+from collections.abc import Mapping
+from dataclasses import asdict
+from typing import NamedTuple
+
+import orjson
+
+from oatcart.handover import socket_records
+from oatcart.net.codec import Codec, parsed
+from oatcart.policy import Conductor
+from oatcart.scale.children import Child, CommandReader, ignore_interrupts, resident_megabytes
+from oatcart.scale.hollow import peer_settings
+from oatcart.scale.peers import TICK_S, ConductorPeers, PeerMessage, PeerSettings
+from oatcart.tables import Tables
+
+START_S = 100.0  # virtual time at the start
+
+
+class CountingOrders(Tables):
+    """An order writer that encodes every message and hands its bytes to the hollow proxies."""
+
+    def __init__(self, codec: Codec, peers: ConductorPeers) -> None:
+        super().__init__(len(codec.kind_names))
+        self.codec, self.peers = codec, peers
+
+    def tell(self) -> None:
+        """Tells the round's orders, each distinct message encoded once."""
+        encoded: dict[tuple, bytes] = {}
+        for proxy, parts in self.messages():
+            if parts not in encoded:
+                encoded[parts] = self.codec.message(parts)
+            self.peers.take(proxy, encoded[parts])
+
+    def probe(self, node: int) -> None: ...
+
+    def follow(self, on: bool) -> None: ...
+
+    def fetch_roll(self) -> None: ...
+
+    def wake(self, after: float) -> None: ...
+
+    def note(self, text: str) -> None: ...
+
+
+class ModuleFigures(NamedTuple):
+    """Processor seconds for each second of the fleet's time, the longest round, and what the start took."""
+
+    core_share: float
+    longest_s: float
+    resident_mb: float
+    ready_core_s: float
+    list_bytes: int
+
+
+def rounds(
+    settings: Mapping, entries: list[dict], peers: PeerSettings, settle_s: float, quiet_s: float, seed: int
+) -> ModuleFigures:
+    """Reads a whole list, lets all proxies join, settles, measures quiet rounds; virtual seconds."""
+    body = orjson.dumps({"revision": 1, "complete": True, "members": entries})
+    before_mb = resident_megabytes(os.getpid())
+    hollow_peers = ConductorPeers(peers)
+    codec = Codec(peers.routes, settings["zones"], settings["specifics"]["proxyCount"])
+    orders = CountingOrders(codec, hollow_peers)
+    module = Conductor(seed=seed, **socket_records(settings))
+
+    def one_round(now: float, messages: list[PeerMessage], first: list[tuple]) -> float:
+        began = time.process_time()
+        arrivals = [*first, *(codec.arrival(memoryview(message.line)) for message in messages)]
+        for arrival in arrivals:
+            if arrival[0] == "joined":
+                orders.joined(arrival[1], arrival[-1])
+        module.round(now, arrivals, orders)
+        orders.tell()
+        return time.process_time() - began
+
+    began = time.process_time()
+    roll = codec.roll(parsed(memoryview(body)))
+    ready_core_s = time.process_time() - began
+    ready_core_s += one_round(START_S, hollow_peers.joins(), [("listed", roll.whole, roll.entries)])
+    ticks, settling = round((settle_s + quiet_s) / TICK_S), round(settle_s / TICK_S)
+    took = [one_round(START_S + TICK_S * tick, hollow_peers.tick(), []) for tick in range(1, ticks + 1)][
+        settling:
+    ]
+    resident_mb = resident_megabytes(os.getpid()) - before_mb
+    return ModuleFigures(sum(took) / quiet_s, max(took), resident_mb, ready_core_s, len(body))
+
+
+def measure(
+    settings: dict, entries: list[dict], peers: dict, settle_s: float, quiet_s: float, seed: int
+) -> dict:
+    """The command of the process."""
+    return rounds(settings, entries, peer_settings(peers), settle_s, quiet_s, seed)._asdict()
+
+
+def module_figures(
+    settings: Mapping, entries: list[dict], peers: PeerSettings, settle_s: float, quiet_s: float, seed: int
+) -> ModuleFigures:
+    """`rounds` in a process of its own, so that its memory is its own; raises ChildError."""
+    with Child("oatcart.scale.module_rounds") as child:
+        return ModuleFigures(
+            **child.ask(
+                "measure",
+                settings=settings,
+                entries=entries,
+                peers=asdict(peers),
+                settle_s=settle_s,
+                quiet_s=quiet_s,
+                seed=seed,
+            )
+        )
+
+
+def main() -> None:
+    """Answers commands until the input ends."""
+    ignore_interrupts()
+    reader = CommandReader({"measure": measure})
+    while reader.read():
+        pass
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/oatcart/scale/peers.py
@@ -0,0 +1,227 @@
+"""Hollow proxies, collectors and nodes of one conductor: what they would say, and what they were ordered.
+
+Nothing here owns a connection or a clock: `ConductorPeers` yields encoded lines of the protocol, tick by
+tick, and takes the bytes of orders. In-process hollow conductors and real ones over sockets are driven by
+the same object, so that both meet the same arrivals. What a tick brings is a function of seed and tick
+alone; acknowledgements depend on the orders that came.
+
+A node that fails answers nothing but errors in the sums of what proxies met; drains and restarts are
+changes of the list, made at discovery.
+"""
+
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+from typing import NamedTuple
+
+import orjson
+
+TICK_S = 0.25  # of the protocol's time between two bundles of reports
+REPORT_PERIOD_S = 1.0  # covered by one sum
+TICKS_OF_PERIOD = round(REPORT_PERIOD_S / TICK_S)
+SUMS_OF_NODES_PER_S = (
+    60  # at most; with more nodes each is met less often, as a few proxies' requests meet it
+)
+ANSWER_MS = 50.0, 300.0  # the range of mean durations
+CONCURRENT_MOST = 8  # requests that a node reports to hold
+ACKNOWLEDGED_AFTER_MS = 1000 * TICK_S
+MARK_KEY = b'"nonce_out":'
+
+
+class PeerMessage(NamedTuple):
+    """A line to a conductor: on a proxy's stream, or on the collector's where `proxy` is None."""
+
+    proxy: int | None
+    zone: str
+    line: bytes
+
+
+@dataclass(frozen=True)
+class PeerSettings:
+    """The peers of one conductor. `requests_per_proxy` is a rate a second, told at joining and in usage."""
+
+    seed: int
+    proxies: int
+    zone: str
+    routes: tuple[str, ...]
+    nodes: tuple[str, ...]
+    requests_per_proxy: float = 15.0
+
+
+@dataclass
+class ProxyTables:
+    """What a proxy holds by its orders: weights by route and node, and the nodes it shuts out."""
+
+    weights: dict[str, dict[str, float]] = field(default_factory=dict)
+    levels: dict[str, float] = field(default_factory=dict)
+    shut_out: set[str] = field(default_factory=set)
+
+    def apply(self, order: Mapping, routes: Sequence[str]) -> None:
+        """Takes one part of an order, as the protocol tells it."""
+        for route in order.get("routes", routes):
+            if order.get("full"):
+                self.weights[route] = {}
+                self.levels.pop(route, None)
+            table = self.weights.setdefault(route, {})
+            for node, weight in order.get("endpoints", ()):
+                if weight > 0:
+                    table[node] = weight
+                else:
+                    table.pop(node, None)
+            if "admit" in order:
+                self.levels[route] = order["admit"]
+        self.shut_out.update(order.get("eject", ()))
+        self.shut_out.difference_update(order.get("restore", ()))
+
+
+@dataclass
+class PeerTraffic:
+    """Bytes and messages between one conductor and its peers, as the conductor sees them."""
+
+    bytes_in: int = 0
+    bytes_out: int = 0
+    messages_in: int = 0
+    messages_out: int = 0
+
+
+class ConductorPeers:
+    """All peers of one conductor. `keep_orders` applies orders to tables; else only marks are looked for."""
+
+    def __init__(self, settings: PeerSettings, keep_orders: bool = False) -> None:
+        self.settings, self.keep_orders = settings, keep_orders
+        self.traffic = PeerTraffic()
+        self.tables = {number: ProxyTables() for number in range(settings.proxies)}
+        self.failing: set[str] = set()
+        self._unread = {number: bytearray() for number in self.tables}
+        self._ticks = count()
+        self._nodes = sorted(settings.nodes)
+        Random(settings.seed).shuffle(self._nodes)
+        self._sums_per_s = min(SUMS_OF_NODES_PER_S, len(self._nodes))
+
+    def joins(self) -> list[PeerMessage]:
+        """What the proxies say first, each on its stream."""
+        share = self.settings.requests_per_proxy
+        return [
+            self._message(
+                number,
+                {
+                    "msg": "joined",
+                    "sidecar": number,
+                    "az": self.settings.zone,
+                    "share": share,
+                    "standing": True,
+                },
+            )
+            for number in self.tables
+        ]
+
+    def tick(self) -> list[PeerMessage]:
+        """All that is said in the next tick: acknowledgements, a part of the usage, sums of what was met."""
+        tick = next(self._ticks)
+        random = Random(self.settings.seed * 1_000_003 + tick)
+        return [*self._acknowledgements(), *self._usage(tick, random), *self._met(tick, random)]
+
+    def take(self, proxy: int, data: bytes) -> None:
+        """Bytes that came on a proxy's stream; they are read with the next tick."""
+        self.traffic.bytes_out += len(data)
+        self._unread[proxy] += data
+
+    def rejoined(self, proxy: int) -> None:
+        """The stream of a proxy has ended: what was cut off is lost, and its next stream starts anew."""
+        self._unread[proxy].clear()
+
+    def fail(self, nodes: Collection[str]) -> None:
+        """From now on these nodes, and no others, fail every request."""
+        self.failing = set(nodes)
+
+    def _acknowledgements(self) -> list[PeerMessage]:
+        marks = {proxy: mark for proxy in self.tables if (mark := self._read(proxy)) is not None}
+        return [
+            self._message(
+                proxy, {"msg": "applied", "sidecar": proxy, "version": mark, "lag_ms": ACKNOWLEDGED_AFTER_MS}
+            )
+            for proxy, mark in marks.items()
+        ]
+
+    def _read(self, proxy: int) -> int | None:
+        """Reads whole lines of a stream; the last mark that was asked for."""
+        unread = self._unread[proxy]
+        end = unread.rfind(b"\n") + 1
+        lines = bytes(unread[:end])
+        del unread[:end]
+        if not lines:
+            return None
+        self.traffic.messages_out += lines.count(b"\n")
+        if not self.keep_orders:
+            return last_mark(lines)
+        mark = None
+        for line in lines.splitlines():
+            order = orjson.loads(line)
+            self.tables[proxy].apply(order, self.settings.routes)
+            mark = order.get("nonce_out", mark)
+        return mark
+
+    def _usage(self, tick: int, random: Random) -> list[PeerMessage]:
+        """Every proxy tells its usage once a period, a part of the proxies in each tick."""
+        count_of_route = self.settings.requests_per_proxy * REPORT_PERIOD_S / len(self.settings.routes)
+        telling = range(tick % TICKS_OF_PERIOD, self.settings.proxies, TICKS_OF_PERIOD)
+        return [
+            self._message(
+                number,
+                {
+                    "msg": "usage",
+                    "sidecar": number,
+                    "kind": route,
+                    "n": round(count_of_route * random.uniform(0.5, 1.5)),
+                    "bad": 0,
+                    "window": 1000 * REPORT_PERIOD_S,
+                },
+            )
+            for number in telling
+            for route in self.settings.routes
+        ]
+
+    def _met(self, tick: int, random: Random) -> list[PeerMessage]:
+        """Sums of a part of the nodes, in turn: one left out for long would be taken for silent."""
+        first = self._sums_per_s * tick // TICKS_OF_PERIOD
+        after_last = self._sums_per_s * (tick + 1) // TICKS_OF_PERIOD
+        met = [self._nodes[place % len(self._nodes)] for place in range(first, after_last)]
+        return [self._message(None, self._sum(node, random)) for node in met]
+
+    def _sum(self, node: str, random: Random) -> dict:
+        requests_per_s = self.settings.proxies * self.settings.requests_per_proxy
+        tries = max(1, round(requests_per_s / self._sums_per_s * random.uniform(0.5, 1.5)))
+        return {
+            "msg": "heard",
+            "az": self.settings.zone,
+            "host": node,
+            "n": tries,
+            "bad": tries if node in self.failing else 0,
+            "avg": random.uniform(*ANSWER_MS),
+            "window": 1000 * REPORT_PERIOD_S,
+            "report": {"inflight": random.randrange(CONCURRENT_MOST)},
+        }
+
+    def _message(self, proxy: int | None, fields: dict) -> PeerMessage:
+        line = orjson.dumps(fields) + b"\n"
+        self.traffic.bytes_in += len(line)
+        self.traffic.messages_in += 1
+        return PeerMessage(proxy, self.settings.zone, line)
+
+
+def last_mark(lines: bytes) -> int | None:
+    """The last mark asked for in encoded orders, found without reading their tables.
+
+    >>> last_mark(b'{"msg":"update","nonce_out":904}\\n{"msg":"update","nonce_out":905}\\n')
+    905
+    """
+    at = lines.rfind(MARK_KEY)
+    if at < 0:
+        return None
+    return int(lines[at + len(MARK_KEY) :].split(b"}", 1)[0].split(b",", 1)[0])
+
+
+def collector_line(zone: str) -> bytes:
+    """What a collector says first."""
+    return orjson.dumps({"msg": "collector", "az": zone}) + b"\n"
--- /dev/null
+++ b/tests/scale/test_scale_hollow.py
@@ -0,0 +1,209 @@
+"""Hollow conductors: what they follow, order, count, and how they meet failures."""
+
+import time
+from collections.abc import Callable, Iterator
+
+import orjson
+import pytest
+
+from oatcart.net.loop import Loop, Wait
+from oatcart.scale.conductor_settings import conductor_settings, route_names
+from oatcart.scale.discovery import Discovery
+from oatcart.scale.hollow import ConductorLoop, Hollows, Meter, metered
+from oatcart.scale.peers import ConductorPeers, PeerSettings, ProxyTables, last_mark
+
+ROUTES = 2
+PROXIES = 3
+SETTINGS = conductor_settings(["a", "b"], ROUTES, PROXIES)
+NODES = tuple(f"node-{number:02}" for number in range(12))
+WITHIN_S = 10.0
+
+
+def entry(node: str, phase: str = "SERVING") -> dict:
+    return {"id": node, "host_port": "10.0.0.1:80", "locality": "a", "phase": phase, "size": 1.0}
+
+
+def wait_until(met: Callable[[], bool], what: str) -> None:
+    until = time.monotonic() + WITHIN_S
+    while not met():
+        assert time.monotonic() < until, what
+        time.sleep(0.05)
+
+
+def peers(seed: int = 1) -> PeerSettings:
+    return PeerSettings(seed, PROXIES, "a", route_names(ROUTES), NODES)
+
+
+@pytest.fixture
+def discovery() -> Iterator[Discovery]:
+    with Discovery() as running:
+        running.change([entry(node) for node in NODES])
+        yield running
+
+
+@pytest.fixture
+def hollows() -> Iterator[Hollows]:
+    with Hollows() as running:
+        yield running
+
+
+def start(discovery: Discovery, hollows: Hollows, count: int) -> None:
+    ports = discovery.open([f"hollow-{number}" for number in range(count)])
+    hollows.start_conductors(SETTINGS, list(ports.values()), list(range(count)))
+    wait_until(
+        lambda: [one.known_nodes for one in hollows.figures().conductors] == [len(NODES)] * count, "no list"
+    )
+
+
+def tables_name(hollows: Hollows, nodes: set[str]) -> bool:
+    """Whether every table of every proxy names these nodes and no others."""
+    tables = [
+        table
+        for one in hollows.orders()
+        for held in one.tables.values()
+        for table in [*held["weights"].values()]
+    ]
+    return bool(tables) and all(set(table) == nodes for table in tables)
+
+
+def test_many_follow_one_list_and_each_change_comes_to_all(discovery: Discovery, hollows: Hollows) -> None:
+    start(discovery, hollows, 40)
+    revision = discovery.change([entry(NODES[0], "DRAINING")])
+    wait_until(lambda: all(one.taken[-1][1] == revision for one in hollows.figures().conductors), "no change")
+    figures = hollows.figures()
+    assert all(0 < one.ready_core_s <= one.core_s and one.ready_after_s > 0 for one in figures.conductors)
+    assert not figures.failures
+
+
+def test_proxies_are_ordered_all_ready_nodes_and_no_drained_one(
+    discovery: Discovery, hollows: Hollows
+) -> None:
+    start(discovery, hollows, 2)
+    hollows.join_peers([peers(), peers(2)], keep_orders=True)
+    wait_until(lambda: tables_name(hollows, set(NODES)), "no tables")
+    discovery.change([entry(NODES[3], "DRAINING")])
+    wait_until(lambda: tables_name(hollows, set(NODES) - {NODES[3]}), "still ordered")
+    figures = hollows.figures().conductors
+    assert all(one.peer_bytes_in > 0 and one.peer_bytes_out > 0 for one in figures)
+    assert all(one.peer_messages_out >= PROXIES for one in figures)
+
+
+def test_a_node_that_fails_is_shut_out_at_all_proxies(discovery: Discovery, hollows: Hollows) -> None:
+    start(discovery, hollows, 1)
+    hollows.join_peers([peers()], keep_orders=True)
+    hollows.fail([NODES[5]])
+
+    def shut_out() -> bool:
+        (held,) = hollows.orders()
+        return all(one["shut_out"] == [NODES[5]] for one in held.tables.values())
+
+    wait_until(shut_out, "not shut out")
+
+
+def test_discovery_goes_away_and_returns(discovery: Discovery, hollows: Hollows) -> None:
+    start(discovery, hollows, 5)
+    discovery.outage(True)
+    revision = discovery.change([entry(NODES[0], "DRAINING")])
+    time.sleep(0.3)
+    assert all(one.revision < revision for one in hollows.figures().conductors)
+    discovery.outage(False)
+    wait_until(
+        lambda: all(one.revision == revision for one in hollows.figures().conductors), "not followed anew"
+    )
+    assert not hollows.figures().failures
+
+
+def test_a_tick_is_a_function_of_seed_and_tick() -> None:
+    one, same, other = ConductorPeers(peers()), ConductorPeers(peers()), ConductorPeers(peers(2))
+    assert one.joins() == same.joins()
+    ticks = [one.tick() for _ in range(4)]
+    assert ticks == [same.tick() for _ in range(4)]
+    assert ticks != [other.tick() for _ in range(4)]
+
+
+def test_every_proxy_and_every_node_is_reported_once_a_period() -> None:
+    one = ConductorPeers(peers())
+    told = [orjson.loads(message.line) for _ in range(4) for message in one.tick()]
+    assert sorted(line["host"] for line in told if line["msg"] == "heard") == sorted(NODES)
+    usage = sorted((line["sidecar"], line["kind"]) for line in told if line["msg"] == "usage")
+    assert usage == sorted((number, route) for number in range(PROXIES) for route in route_names(ROUTES))
+    assert one.traffic.messages_in == len(told)
+
+
+def test_failing_nodes_fail_every_request_and_no_others() -> None:
+    one = ConductorPeers(peers())
+    one.fail([NODES[0]])
+    told = [orjson.loads(message.line) for _ in range(4) for message in one.tick()]
+    failed = {line["host"]: line["bad"] / line["n"] for line in told if line["msg"] == "heard"}
+    assert {node for node, share in failed.items() if share} == {NODES[0]} and failed[NODES[0]] == 1.0
+
+
+@pytest.mark.parametrize("keep_orders", [False, True])
+def test_a_mark_is_acknowledged_once_its_line_is_whole(keep_orders: bool) -> None:
+    one = ConductorPeers(peers(), keep_orders)
+    line = b'{"msg":"update","endpoints":[["node-01",1.5]],"nonce_out":905}\n'
+    one.take(1, line[:20])
+    assert b"applied" not in b"".join(message.line for message in one.tick())
+    one.take(1, line[20:])
+    (answer,) = [message for message in one.tick() if b"applied" in message.line]
+    assert answer.proxy == 1 and orjson.loads(answer.line)["version"] == 905
+    assert one.traffic.bytes_out == len(line) and one.traffic.messages_out == 1
+
+
+def test_without_a_mark_there_is_none() -> None:
+    assert last_mark(b'{"msg":"update","eject":["node-01"]}\n') is None
+
+
+def test_a_proxy_holds_what_its_orders_say() -> None:
+    held = ProxyTables()
+    held.apply({"full": True, "endpoints": [["x", 1.5], ["y", 2]], "admit": 0.5, "policy": 1}, ["r", "s"])
+    held.apply({"routes": ["r"], "endpoints": [["x", 0], ["z", 3]], "eject": ["y"]}, ["r", "s"])
+    assert held.weights == {"r": {"y": 2, "z": 3}, "s": {"x": 1.5, "y": 2}}
+    assert held.shut_out == {"y"} and held.levels == {"r": 0.5, "s": 0.5}
+    held.apply({"routes": ["r"], "full": True, "endpoints": [], "restore": ["y"]}, ["r", "s"])
+    assert held.weights["r"] == {} and held.levels == {"s": 0.5} and not held.shut_out
+
+
+def test_nested_stretches_are_metered_once() -> None:
+    meter = Meter()
+    with meter:
+        began = time.thread_time()
+        with meter:
+            sum(range(200_000))
+        took = time.thread_time() - began
+    assert took <= meter.core_s == meter.longest_s < 2 * took + 0.01
+
+
+def test_a_metered_task_is_the_same_task() -> None:
+    ended = []
+
+    def steps():
+        try:
+            ended.append((yield Wait(until=1.0)))
+            yield Wait(until=2.0)
+        finally:
+            ended.append("closed")
+
+    now = [0.0]
+    loop = Loop(lambda: now[0], ended.append)
+    task = ConductorLoop(loop, Meter()).spawn(steps())
+    now[0] = 1.0
+    loop.turn(0.0)
+    assert ended == [False] and not task.over
+    loop.end(task)
+    assert ended == [False, "closed"] and task.over
+    loop.poll.close()
+
+
+def test_an_error_in_a_metered_task_reaches_the_loop() -> None:
+    meter = Meter()
+
+    def steps():
+        yield Wait()
+        raise ZeroDivisionError
+
+    task = metered(steps(), meter)
+    next(task)
+    with pytest.raises(ZeroDivisionError):
+        task.send(True)
+    assert meter.core_s > 0
