--- /dev/null
+++ b/oatcart/scale/peer_sockets.py
@@ -0,0 +1,147 @@
+"""The peers of real conductors over sockets: streams of hollow proxies and a collector's connection each.
+
+The process (`python -m oatcart.scale.peer_sockets`) takes commands as in `children.py` and plays the same
+`peers.ConductorPeers` that hollow conductors meet in their own process.
+"""
+
+import asyncio
+import sys
+from collections.abc import Coroutine
+from dataclasses import asdict, astuple
+
+from oatcart.scale.children import Child, CommandReader, ignore_interrupts, own_usage
+from oatcart.scale.discovery import LOOPBACK, Usage
+from oatcart.scale.hollow import HeldTables, held_tables, peer_settings
+from oatcart.scale.peers import TICK_S, ConductorPeers, PeerMessage, PeerSettings, PeerTraffic, collector_line
+
+
+class ProxyStream(asyncio.Protocol):
+    """A proxy's stream: hands what it receives to the peers."""
+
+    def __init__(self, peers: ConductorPeers, proxy: int) -> None:
+        self.peers, self.proxy = peers, proxy
+
+    def data_received(self, data: bytes) -> None:
+        self.peers.take(self.proxy, data)
+
+
+class ConductorConnections:
+    """All connections of one conductor's peers; when the conductor ends they are not dialled again."""
+
+    def __init__(self, peers: ConductorPeers, port: int) -> None:
+        self.peers, self.port = peers, port
+        self.streams: dict[int, asyncio.WriteTransport] = {}
+        self.collector: asyncio.WriteTransport | None = None
+
+    async def live(self, first_after_s: float) -> None:
+        """Joins, then reports at every tick."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(first_after_s)
+        self.collector, _ = await loop.create_connection(asyncio.Protocol, LOOPBACK, self.port)
+        self.collector.write(collector_line(self.peers.settings.zone))
+        for number in self.peers.tables:
+            stream = ProxyStream(self.peers, number)
+            self.streams[number], _ = await loop.create_connection(
+                lambda one=stream: one, LOOPBACK, self.port
+            )
+        self._send(self.peers.joins())
+        when = loop.time()
+        while True:
+            when += TICK_S
+            await asyncio.sleep(when - loop.time())
+            self._send(self.peers.tick())
+
+    def _send(self, messages: list[PeerMessage]) -> None:
+        """One write for each connection, as a proxy or collector that bundles its lines."""
+        bundles: dict[int | None, bytearray] = {}
+        for message in messages:
+            bundles.setdefault(message.proxy, bytearray()).extend(message.line)
+        for proxy, bundle in bundles.items():
+            (self.collector if proxy is None else self.streams[proxy]).write(bundle)
+
+
+class PeerService:
+    """The peers of all real conductors; methods without an underscore are commands."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.connections: list[ConductorConnections] = []
+        self.lives: list[asyncio.Task] = []
+        self.failures: list[str] = []
+
+    def join(self, ports: list[int], peers: list[dict], keep_orders: bool) -> dict:
+        """Lets the proxies of every conductor join, spread over a tick; from then on they report."""
+        for place, (port, told) in enumerate(zip(ports, peers, strict=True)):
+            one = ConductorConnections(ConductorPeers(peer_settings(told), keep_orders), port)
+            self.connections.append(one)
+            self.lives.append(self.loop.create_task(self._live(one.live(TICK_S * place / len(ports)))))
+        return {}
+
+    def fail(self, nodes: list[str]) -> dict:
+        """From now on these nodes fail every request of all conductors' proxies."""
+        for one in self.connections:
+            one.peers.fail(nodes)
+        return {}
+
+    def figures(self) -> dict:
+        """The process's usage, and each conductor's traffic with its peers."""
+        return {
+            "usage": own_usage(),
+            "failures": self.failures,
+            "conductors": [astuple(one.peers.traffic) for one in self.connections],
+        }
+
+    def orders(self) -> dict:
+        """What the proxies of each conductor hold."""
+        return {"conductors": [held_tables(one.peers) for one in self.connections]}
+
+    async def _live(self, life: Coroutine) -> None:
+        try:
+            await life
+        except OSError as error:
+            self.failures.append(repr(error))
+
+
+class PeerSockets(Child):
+    """The parent's side of the process."""
+
+    def __init__(self) -> None:
+        super().__init__("oatcart.scale.peer_sockets")
+
+    def join(self, ports: list[int], peers: list[PeerSettings], keep_orders: bool = False) -> None:
+        """Lets the proxies of the conductors at these ports join and report from then on."""
+        self.ask("join", ports=ports, peers=[asdict(one) for one in peers], keep_orders=keep_orders)
+
+    def fail(self, nodes: list[str]) -> None:
+        """From now on these nodes, and no others, fail every request."""
+        self.ask("fail", nodes=nodes)
+
+    def figures(self) -> tuple[Usage, list[PeerTraffic]]:
+        """The process's usage, and each conductor's traffic with its peers."""
+        told = self.ask("figures")
+        return Usage(**told["usage"]), [PeerTraffic(*one) for one in told["conductors"]]
+
+    def orders(self) -> list[HeldTables]:
+        """What the proxies of each conductor hold; which nodes a real conductor knows cannot be read."""
+        return [HeldTables(tables, None) for tables in self.ask("orders")["conductors"]]
+
+
+async def serve() -> None:
+    """The life of the process: until its input ends."""
+    service = PeerService(asyncio.get_running_loop())
+    ended = asyncio.Event()
+    reader = CommandReader(
+        {"join": service.join, "fail": service.fail, "figures": service.figures, "orders": service.orders}
+    )
+
+    def read_commands() -> None:
+        if not reader.read():
+            ended.set()
+
+    asyncio.get_running_loop().add_reader(sys.stdin.fileno(), read_commands)
+    await ended.wait()
+
+
+if __name__ == "__main__":
+    ignore_interrupts()
+    asyncio.run(serve())
--- /dev/null
+++ b/tests/scale/test_scale_real.py
@@ -0,0 +1,125 @@
+"""Real conductor processes: their start, their end, and what happens when one dies or cannot start."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from oatcart.scale.children import Child, ChildProcess, core_seconds, resident_megabytes
+from oatcart.scale.conductor_settings import ROUTES_MOST, conductor_settings
+from oatcart.scale.discovery import Discovery
+from oatcart.scale.real import RUN, NotReady, RealConductor, real_conductors
+
+SETTINGS = conductor_settings(["a", "b"], routes=2, proxies=2)
+ENTRY = {"id": "node-1", "host_port": "127.0.0.1:1", "locality": "a", "phase": "SERVING"}
+ENDED_WITHIN_S = 5.0
+
+
+def alive(pid: int) -> bool:
+    """Whether a process runs; one that has ended and waits to be collected does not."""
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
+    except FileNotFoundError:
+        return False
+
+
+def wait_until(met, what: str) -> None:
+    until = time.monotonic() + ENDED_WITHIN_S
+    while not met():
+        assert time.monotonic() < until, what
+        time.sleep(0.02)
+
+
+def test_conductors_are_started_as_the_platform_starts_them() -> None:
+    run = tomllib.loads(Path("deploy/balancer.toml").read_text())["run"].split()
+    assert run[0] == "exec" and run[2:] == list(RUN[1:])
+
+
+def test_conductors_answer_follow_the_list_and_end_with_the_block() -> None:
+    with Discovery() as discovery:
+        discovery.change([ENTRY])
+        ports = discovery.open(["one", "two"])
+        with real_conductors(SETTINGS, list(ports.values()), [1, 2]) as conductors:
+            wait_until(lambda: all(discovery.held().held.values()), "no watch")
+            assert all(one.ready_after_s > 0 for one in conductors)
+            assert all(one.core_seconds() > 0 and one.resident_megabytes() > 5 for one in conductors)
+            pids = [one.pid for one in conductors]
+    assert not any(map(alive, pids))
+
+
+def test_conductors_end_when_the_block_is_left_by_an_error() -> None:
+    pids = []
+    with Discovery() as discovery, pytest.raises(ZeroDivisionError):
+        discovery.change([ENTRY])
+        with real_conductors(SETTINGS, list(discovery.open(["one"]).values()), [1]) as conductors:
+            pids += [one.pid for one in conductors]
+            raise ZeroDivisionError
+    assert pids and not any(map(alive, pids))
+
+
+def test_a_conductor_that_cannot_use_its_configuration_is_not_ready(tmp_path: Path) -> None:
+    path = tmp_path / "configuration.json"
+    path.write_text("{}")
+    with RealConductor(path) as conductor, pytest.raises(NotReady, match="settings"):
+        conductor.wait_ready()
+
+
+def test_a_conductor_that_died_shows_no_figures_and_ending_it_again_does_nothing() -> None:
+    with Discovery() as discovery:
+        discovery.change([ENTRY])
+        with real_conductors(SETTINGS, list(discovery.open(["one"]).values()), [1]) as (conductor,):
+            conductor.process.kill()
+            conductor.process.wait()
+            with pytest.raises(OSError):
+                conductor.core_seconds()
+            assert not conductor.running
+
+
+def test_a_process_that_ignores_sigterm_is_killed() -> None:
+    stubborn = "import signal, time; signal.signal(signal.SIGTERM, signal.SIG_IGN); print(); time.sleep(60)"
+    with ChildProcess([sys.executable, "-u", "-c", stubborn], pipes=True) as process:
+        process.process.stdout.readline()
+        pid = process.pid
+    assert not alive(pid)
+
+
+def test_children_end_when_their_parent_is_killed() -> None:
+    program = (
+        "import sys, time\n"
+        "from oatcart.scale.discovery import Discovery\n"
+        "from oatcart.scale.children import ChildProcess\n"
+        "discovery = Discovery()\n"
+        "sleeper = ChildProcess([sys.executable, '-c', 'import time; time.sleep(60)'])\n"
+        "print(discovery.pid, sleeper.pid, flush=True)\n"
+        "time.sleep(60)\n"
+    )
+    with subprocess.Popen([sys.executable, "-c", program], stdout=subprocess.PIPE) as parent:
+        pids = [int(word) for word in parent.stdout.readline().split()]
+        assert all(map(alive, pids))
+        parent.kill()
+    wait_until(lambda: not any(map(alive, pids)), f"{pids} outlive their parent")
+
+
+def test_an_interrupt_in_a_child_is_left_to_its_parent() -> None:
+    with Child("oatcart.scale.discovery") as child:
+        child.ask("figures")
+        os.kill(child.pid, signal.SIGINT)
+        assert child.ask("figures")["clients"] == {}
+
+
+def test_figures_of_this_process_can_be_read() -> None:
+    began = core_seconds(os.getpid())
+    sum(range(2_000_000))
+    assert core_seconds(os.getpid()) > began
+    assert resident_megabytes(os.getpid()) > 5
+
+
+@pytest.mark.parametrize("routes", [0, ROUTES_MOST + 1])
+def test_a_conductor_has_no_more_routes_than_request_classes(routes: int) -> None:
+    with pytest.raises(ValueError, match="routes"):
+        conductor_settings(["a"], routes, 2)
