--- /dev/null
+++ b/oatcart/scale/runs.py
@@ -0,0 +1,238 @@
+"""Measures what each role costs at every size of each dimension, with one small function a dimension.
+
+How each dimension is grown, all others staying as they are:
+
+* `conductors`: hollow ones, all in one process, and a few real ones beside them, with a small list.
+* `nodes`: one list of all nodes, which is what conductors follow today. Where the list exceeds the protocol's
+  1 MiB real and hollow conductors refuse it and are left out; the decision module alone, with no socket, is
+  measured at every size as the role `module`.
+* `services`: so many services with the same nodes, as one list of all services, and as one list a service,
+  where each conductor follows one service (roles that end in `_of_service`). Conductors follow one list, so
+  one that calls several services has no way to do so with a list a service.
+* `routes`: request classes of a conductor, of which there are at most 16; larger sizes are left out.
+* `tenants`: entries in a conductor's settings, read at its start and kept; it has no other state of a tenant.
+* `proxies`: proxies of one conductor, each with its usage reports and its stream.
+* `changes`: changes of the list, told as changes a day, measured while they are made.
+
+A conductor fetches the whole list every 20 s. A full run measures for a multiple of that, whatever the file
+tells;
+a quick run does not: its bytes and processor time leave these fetches out.
+"""
+
+import signal
+import threading
+from collections.abc import Callable, Collection, Iterator, Mapping
+from contextlib import contextmanager
+from dataclasses import replace
+from math import ceil
+
+from oatcart.policy import FETCH_EVERY
+from oatcart.scale.children import raise_interrupted
+from oatcart.scale.conductor_settings import ROUTES_MOST, conductor_settings, list_entry, route_names
+from oatcart.scale.configuration import DAY_S, RunSettings, Settings
+from oatcart.scale.figures import HOLLOW_ROLE, REAL_ROLE, ChangesLost, play
+from oatcart.scale.fleet import plan_fleet
+from oatcart.scale.measurement import Measurement
+from oatcart.scale.module_rounds import module_figures
+from oatcart.scale.peers import PeerSettings
+from oatcart.scale.real import NotReady
+from oatcart.scale.trial import DoesNotFit, TrialSettings
+
+MODULE_ROLE = "module"
+OF_SERVICE = "_of_service"
+ROUTES_MEASURED = 1, 2, 4, 8, 12, 16  # request classes, beside what the file asks for
+BASE_NODES = 200  # where nodes are not what grows
+CONDUCTORS_NODES = 50  # a list small enough for many conductors in one process
+SERVICES_NODES = 2_000  # enough for two nodes in each of 720 services, few enough for one list
+HOLLOW_BESIDE, REAL_BESIDE = 4, 2  # conductors where they are not what grows
+HOLLOW_OF_LARGE_LIST, REAL_OF_LARGE_LIST = 1, 1  # each may take up a good part of a core
+REAL_MOST, REAL_MOST_QUICK = 8, 2  # in the dimension of conductors
+CHANGES_PER_S = 10.0  # where changes are not what grows
+MODULE_SPAN_MOST_S = 4.0  # virtual; at 27,000 nodes a second of it takes more than one of a core
+
+Progress = Callable[[str], None]
+
+
+def whole_fetches(span_s: float) -> float:
+    """The span, made longer until it holds a whole number of the list's periodic fetches.
+
+    >>> whole_fetches(15.0), whole_fetches(40.0)
+    (20.0, 40.0)
+    """
+    return ceil(span_s / FETCH_EVERY) * FETCH_EVERY
+
+
+class Runs:
+    """One run of some dimensions at the sizes and times of a file."""
+
+    def __init__(self, settings: Settings, quick: bool, progress: Progress) -> None:
+        self.settings, self.quick, self.progress = settings, quick, progress
+        self.run: RunSettings = settings.quick if quick else settings.full
+        self.base = TrialSettings(
+            fleet=settings.fleet.scaled_to(BASE_NODES),
+            seed=settings.seed,
+            hollow=HOLLOW_BESIDE,
+            real=REAL_BESIDE,
+            proxies=settings.fleet.proxies_per_conductor,
+            settle_s=self.run.settle_for,
+            quiet_s=self.run.measure_for if quick else whole_fetches(self.run.measure_for),
+            changes=self.run.repeats,
+            changes_per_s=CHANGES_PER_S,
+            limits=settings.limits,
+        )
+
+    def conductors(self, size: int) -> list[Measurement]:
+        """So many hollow conductors, with a few real ones beside them."""
+        real = min(size, REAL_MOST_QUICK if self.quick else REAL_MOST)
+        fleet = self.settings.fleet.scaled_to(CONDUCTORS_NODES)
+        return self._play("conductors", size, replace(self.base, fleet=fleet, hollow=size, real=real))
+
+    def nodes(self, size: int) -> list[Measurement]:
+        """One list of so many nodes; the module alone beside it."""
+        trial = replace(
+            self.base,
+            fleet=self.settings.fleet.scaled_to(size),
+            hollow=HOLLOW_OF_LARGE_LIST,
+            real=REAL_OF_LARGE_LIST,
+        )
+        return [*self._play("nodes", size, trial), self._module(size, trial)]
+
+    def services(self, size: int) -> list[Measurement]:
+        """So many services in one list, and in a list each."""
+        fleet = replace(
+            self.settings.fleet.scaled_to(SERVICES_NODES),
+            services=size,
+            services_per_conductor=min(size, self.settings.fleet.services_per_conductor),
+        )
+        trial = replace(self.base, fleet=fleet, real=REAL_OF_LARGE_LIST)
+        one_list = self._play("services", size, replace(trial, hollow=HOLLOW_OF_LARGE_LIST))
+        lists = self._play("services", size, replace(trial, lists_by_service=True))
+        return one_list + [replace(one, role=one.role + OF_SERVICE) for one in lists]
+
+    def routes(self, size: int) -> list[Measurement]:
+        """A conductor with so many request classes."""
+        if size > ROUTES_MOST:
+            text = f"a conductor of today has at most {ROUTES_MOST} request classes"
+            return [Measurement("routes", size, role, left_out=text) for role in (REAL_ROLE, HOLLOW_ROLE)]
+        return self._play("routes", size, replace(self.base, routes=size))
+
+    def tenants(self, size: int) -> list[Measurement]:
+        """Real conductors with so many tenants in their settings."""
+        return self._play("tenants", size, replace(self.base, hollow=0, tenants=size))
+
+    def proxies(self, size: int) -> list[Measurement]:
+        """Conductors with so many proxies each."""
+        return self._play("proxies", size, replace(self.base, proxies=size))
+
+    def changes(self, size: int) -> list[Measurement]:
+        """So many changes a day, for the whole measured span."""
+        per_s = size / DAY_S
+        trial = replace(
+            self.base,
+            changes=max(1, round(per_s * self.run.measure_for)),
+            changes_per_s=per_s,
+            measure_under_changes=True,
+        )
+        return self._play("changes", size, trial)
+
+    def _play(self, dimension: str, size: float, trial: TrialSettings) -> list[Measurement]:
+        """The measurements of a trial; where it does not fit, why."""
+        try:
+            return play(trial, dimension, size)
+        except (DoesNotFit, NotReady, ChangesLost) as error:
+            roles = [role for role, count in ((REAL_ROLE, trial.real), (HOLLOW_ROLE, trial.hollow)) if count]
+            return [Measurement(dimension, size, role, left_out=str(error)) for role in roles]
+
+    def _module(self, size: int, trial: TrialSettings) -> Measurement:
+        """The decision module alone, in virtual time."""
+        plan = plan_fleet(trial.fleet, trial.seed)
+        zones = list(plan.zone_regions)
+        peers = PeerSettings(
+            trial.seed,
+            trial.proxies,
+            zones[0],
+            route_names(trial.routes),
+            tuple(node.id for node in plan.nodes),
+        )
+        figures = module_figures(
+            conductor_settings(zones, trial.routes, trial.proxies),
+            [list_entry(node) for node in plan.nodes],
+            peers,
+            trial.settle_s,
+            min(trial.quiet_s, MODULE_SPAN_MOST_S),
+            trial.seed,
+        )
+        return Measurement(
+            "nodes",
+            size,
+            MODULE_ROLE,
+            core_share=figures.core_share,
+            longest_round_s=figures.longest_s,
+            resident_mb=figures.resident_mb,
+            ready_core_s=figures.ready_core_s,
+            ready_bytes=figures.list_bytes,
+        )
+
+
+def measure(
+    settings: Settings, quick: bool, dimensions: Collection[str] | None, progress: Progress
+) -> list[Measurement]:
+    """The measurements of some dimensions, by default of all that the file has sizes for.
+
+    `quick` chooses the file's quick sizes and times. `progress` is told a line before and after each size.
+    All processes are ended before this returns or raises, also on SIGINT and SIGTERM. Raises ChildError.
+    """
+    runs = Runs(settings, quick, progress)
+    measurements: list[Measurement] = []
+    with ended_by_sigterm():
+        for dimension, sizes in sizes_of(runs.run, dimensions).items():
+            grown = getattr(runs, dimension)
+            for size in sizes:
+                progress(f"{dimension} {size:,}")
+                found = grown(size)
+                measurements += found
+                for one in found:
+                    progress(f"  {line(one)}")
+    return measurements
+
+
+def sizes_of(run: RunSettings, dimensions: Collection[str] | None) -> Mapping[str, list[int]]:
+    """The sizes of each dimension asked for; routes also at sizes that a conductor of today can have."""
+    sizes = {
+        dimension: list(told)
+        for dimension, told in run.sizes.items()
+        if dimensions is None or dimension in dimensions
+    }
+    if "routes" in sizes:
+        sizes["routes"] = sorted({*ROUTES_MEASURED, *sizes["routes"]})
+    return sizes
+
+
+def line(one: Measurement) -> str:
+    """A measurement's main figures in a line."""
+    if one.left_out:
+        return f"{one.role}: left out: {one.left_out.splitlines()[0]}"
+    told = [f"{one.role}:"]
+    for title, value in (
+        ("core", one.core_share),
+        ("MB", one.resident_mb),
+        ("B/s in", one.bytes_in_s),
+        ("last change s", one.change_last_s),
+        ("ready s", one.ready_s),
+    ):
+        if value is not None:
+            told.append(f"{title} {value:.4g}")
+    return " ".join(told)
+
+
+@contextmanager
+def ended_by_sigterm() -> Iterator[None]:
+    """Within the block SIGTERM raises Interrupted, so that every child is ended on the way out."""
+    if threading.current_thread() is not threading.main_thread():
+        yield  # signals are the main thread's
+        return
+    before = signal.signal(signal.SIGTERM, raise_interrupted)
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGTERM, before)
--- /dev/null
+++ b/oatcart/scale/trial.py
@@ -0,0 +1,284 @@
+"""One trial: a fleet of hollow and real conductors under one stand-in discovery, measured quiet and under
+changes.
+
+The order of a trial: discovery is given its lists; conductors start and are *ready* once they hold the list
+(a real one must also have answered `pong`); their proxies join; after a time to settle come a quiet span,
+whose processor time, bytes and messages are measured, and a span of changes at a fixed rate.
+
+How the quantities of a `Measurement` are read here:
+
+* Processor time is the kernel's count of a process, and for a hollow conductor the time under its meter.
+* Bytes and messages of a conductor are those of its control connections, to discovery; those from and to
+  its proxies and collectors are proportional to what the harness reports and are compared in
+  `agreement.py`.
+* Resident memory of a hollow conductor is the growth of its process divided by the number of conductors.
+* A change is in force at a hollow conductor once a round has run on it, at a real one once it asks
+  discovery on from it. `change_last_s` is the largest delay; one that never came within the trial makes it
+  a failed trial.
+* A conductor fetches the whole list every 20 s; a quiet span that is shorter may leave that out, and what a
+  trial tells of bytes and processor time is then without it.
+"""
+
+import resource
+import time
+from collections.abc import Iterator, Sequence
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from typing import NamedTuple
+
+import orjson
+
+from oatcart.net.stream import MESSAGE_MOST
+from oatcart.scale.children import MEGABYTE
+from oatcart.scale.conductor_settings import (
+    WARM_AFTER_S,
+    NodeChanges,
+    conductor_settings,
+    list_entry,
+    nodes_of_lists,
+    route_names,
+)
+from oatcart.scale.configuration import FleetSettings, LimitSettings
+from oatcart.scale.discovery import (
+    MAIN_LIST,
+    Discovery,
+    DiscoveryFigures,
+    HeldFigures,
+    Usage,
+)
+from oatcart.scale.fleet import FleetPlan, PlannedNode, plan_fleet
+from oatcart.scale.hollow import HollowReading, Hollows
+from oatcart.scale.peer_sockets import PeerSockets
+from oatcart.scale.peers import PeerSettings
+from oatcart.scale.real import NotReady, RealConductor, real_conductors
+
+READY_WITHIN_S = 60.0
+LOOK_EVERY_S = 0.05  # at what conductors have, while waiting
+LAST_CHANGE_WITHIN_S = 5.0  # after the last change, for all conductors to have it
+STAND_INS = 3  # processes beside conductors: discovery, the hollow fleet, the peers' sockets
+DESCRIPTORS_OF_CONDUCTOR = 4  # at discovery: a port, a watch, a fetch, a spare
+DESCRIPTORS_SPARE = 64
+
+
+class DoesNotFit(RuntimeError):
+    """A size for which this machine or today's protocol has no room; the text says why."""
+
+
+@dataclass(frozen=True)
+class TrialSettings:
+    """One trial; times in seconds. `tenants` go into the settings of conductors."""
+
+    fleet: FleetSettings
+    seed: int
+    hollow: int
+    real: int
+    routes: int = 2
+    proxies: int = 8
+    tenants: int = 0
+    warm_after_s: float = WARM_AFTER_S
+    settle_s: float = 3.0
+    quiet_s: float = 15.0
+    changes: int = 20
+    changes_per_s: float = 10.0
+    measure_under_changes: bool = False
+    lists_by_service: bool = False
+    limits: LimitSettings = LimitSettings()
+
+
+class Ready(NamedTuple):
+    """What a conductor took from its start to ready; seconds, core seconds, bytes received."""
+
+    after_s: float
+    core_s: float
+    bytes_received: int
+
+
+class Reading(NamedTuple):
+    """All counters at one moment of a trial."""
+
+    at: float
+    discovery: DiscoveryFigures
+    hollow: HollowReading | None
+    real: list[Usage]
+
+
+def raise_descriptor_limit() -> int:
+    """Raises this process's limit of open files as far as allowed; children inherit it. Returns the limit."""
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+    return most
+
+
+def check_fits(settings: TrialSettings, list_bytes: int) -> None:
+    """Raises DoesNotFit where a limit is known to be exceeded before anything is started."""
+    processes = settings.real + STAND_INS
+    if processes > settings.limits.processes:
+        raise DoesNotFit(f"{processes} processes are over the limit of {settings.limits.processes}")
+    if list_bytes > MESSAGE_MOST:
+        raise DoesNotFit(f"a list of {list_bytes} bytes is over the protocol's {MESSAGE_MOST}: refused")
+    descriptors = DESCRIPTORS_OF_CONDUCTOR * (settings.hollow + settings.real) + DESCRIPTORS_SPARE
+    if descriptors > (most := raise_descriptor_limit()):
+        raise DoesNotFit(f"{descriptors} descriptors are over the limit of {most}")
+
+
+class Trial:
+    """The processes of one trial and what is asked of them; made by `running`, which ends them."""
+
+    def __init__(self, settings: TrialSettings, plan: FleetPlan, processes: ExitStack) -> None:
+        self.settings, self.plan, self._processes = settings, plan, processes
+        self.lists = nodes_of_lists(plan.nodes, settings.lists_by_service, MAIN_LIST)
+        check_fits(settings, max(list_size(nodes) for nodes in self.lists.values()))
+        self.conductor_settings = conductor_settings(
+            list(plan.zone_regions),
+            settings.routes,
+            settings.proxies,
+            settings.tenants,
+            settings.warm_after_s,
+        )
+        self.hollow_names = [f"hollow-{number}" for number in range(settings.hollow)]
+        self.real_names = [f"real-{number}" for number in range(settings.real)]
+        self.discovery: Discovery = processes.enter_context(Discovery())
+        self.hollows: Hollows | None = None
+        self.peers: PeerSockets | None = None
+        self.real: list[RealConductor] = []
+        self.hollow_before_mb = 0.0
+        self.ready: dict[str, Ready] = {}
+
+    @property
+    def names(self) -> list[str]:
+        """All conductors' names, at discovery."""
+        return self.hollow_names + self.real_names
+
+    def list_of(self, name: str) -> str:
+        """The list that a conductor follows."""
+        names = list(self.lists)
+        return names[int(name.rpartition("-")[2]) % len(names)]
+
+    def start(self) -> None:
+        """Starts everything, waits until all are ready; raises DoesNotFit, NotReady, ChildError."""
+        for name, nodes in self.lists.items():
+            self.discovery.change([list_entry(node) for node in nodes], name)
+        ports = {}
+        for name in self.names:
+            ports |= self.discovery.open([name], self.list_of(name))
+        if self.hollow_names:
+            self.hollows = self._processes.enter_context(Hollows())
+            self.hollow_before_mb = self.hollows.figures().usage.resident_mb
+            seeds = [self.settings.seed + number for number in range(self.settings.hollow)]
+            self.hollows.start_conductors(
+                self.conductor_settings, [ports[name] for name in self.hollow_names], seeds
+            )
+        if self.real_names:
+            self.peers = self._processes.enter_context(PeerSockets())
+            seeds = [self.settings.seed + number for number in range(self.settings.real)]
+            self.real = self._processes.enter_context(
+                real_conductors(self.conductor_settings, [ports[name] for name in self.real_names], seeds)
+            )
+        self._wait_ready()
+
+    def join_peers(self, keep_orders: bool = False) -> None:
+        """Lets the proxies of all conductors join; from then on they report."""
+        if self.hollows:
+            self.hollows.join_peers([self.peer_settings(name) for name in self.hollow_names], keep_orders)
+        if self.peers:
+            self.peers.join(
+                [one.port for one in self.real],
+                [self.peer_settings(name) for name in self.real_names],
+                keep_orders,
+            )
+
+    def peer_settings(self, name: str) -> PeerSettings:
+        """The peers of a conductor; a hollow and a real one of the same number have the same."""
+        number = int(name.rpartition("-")[2])
+        zones = list(self.plan.zone_regions)
+        return PeerSettings(
+            seed=self.settings.seed + number,
+            proxies=self.settings.proxies,
+            zone=zones[number % len(zones)],
+            routes=route_names(self.settings.routes),
+            nodes=tuple(node.id for node in self.lists[self.list_of(name)]),
+        )
+
+    def read(self) -> Reading:
+        """All counters now; raises DoesNotFit where memory is over the limit."""
+        reading = Reading(
+            time.monotonic(),
+            self.discovery.figures(),
+            self.hollows.figures() if self.hollows else None,
+            [Usage(one.core_seconds(), one.resident_megabytes()) for one in self.real],
+        )
+        self._check_memory()
+        return reading
+
+    def make_changes(self, changes: NodeChanges, count: int, per_s: float) -> None:
+        """Makes so many changes at a fixed rate; of several lists each change goes to its node's."""
+        first = time.monotonic()
+        for number in range(count):
+            time.sleep(max(0.0, first + number / per_s - time.monotonic()))
+            entry = changes.next_entry(time.time())
+            self.discovery.change([entry], entry["service"] if self.settings.lists_by_service else MAIN_LIST)
+
+    def wait_for_changes(self) -> HeldFigures:
+        """Waits until every conductor has the last revision of its list; raises NotReady."""
+        until = time.monotonic() + LAST_CHANGE_WITHIN_S
+        while True:
+            figures = self.discovery.held()
+            late = [
+                name
+                for name in self.names
+                if figures.held[name][-1].revision < len(figures.changed_at[figures.lists[name]])
+            ]
+            if not late:
+                return figures
+            if time.monotonic() > until:
+                raise NotReady(f"{len(late)} conductors lack a change after {LAST_CHANGE_WITHIN_S:.0f} s")
+            time.sleep(LOOK_EVERY_S)
+
+    def _check_memory(self) -> None:
+        processes = [one for one in (self.discovery, self.hollows, self.peers, *self.real) if one]
+        resident = sum(one.resident_megabytes() for one in processes) * MEGABYTE
+        if resident > self.settings.limits.memory:
+            raise DoesNotFit(
+                f"{resident:.0f} bytes of memory are over the limit of {self.settings.limits.memory}"
+            )
+
+    def _wait_ready(self) -> None:
+        until = time.monotonic() + READY_WITHIN_S
+        while len(self.ready) < len(self.names):
+            if time.monotonic() > until:
+                raise NotReady(
+                    f"{len(self.names) - len(self.ready)} conductors hold no list: {self.errors()}"
+                )
+            time.sleep(LOOK_EVERY_S)
+            self._note_ready(self.discovery.held())
+            self._check_memory()
+        hollow = self.hollows.figures().conductors if self.hollows else []
+        for name, one in zip(self.hollow_names, hollow, strict=True):
+            self.ready[name] = Ready(one.ready_after_s, one.ready_core_s, self.ready[name].bytes_received)
+
+    def _note_ready(self, figures: HeldFigures) -> None:
+        """Conductors that have asked on from a revision by now. Hollow ones tell the rest themselves."""
+        real = dict(zip(self.real_names, self.real, strict=True))
+        for name in self.names:
+            held = next((one for one in figures.held[name] if one.revision), None)
+            if name not in self.ready and held:
+                one = real.get(name)
+                after_s = max(held.at - one.started_at, one.ready_after_s) if one else 0.0
+                self.ready[name] = Ready(after_s, one.core_seconds() if one else 0.0, held.bytes_sent)
+
+    def errors(self) -> str:
+        """What real conductors have written to their logs."""
+        return "\n".join(one.error_text() for one in self.real)
+
+
+@contextmanager
+def running(settings: TrialSettings) -> Iterator[Trial]:
+    """A trial whose processes are all ended when the block is left, however it is left."""
+    plan = plan_fleet(settings.fleet, settings.seed)
+    with ExitStack() as processes:
+        yield Trial(settings, plan, processes)
+
+
+def list_size(nodes: Sequence[PlannedNode]) -> int:
+    """The bytes of a whole list of some nodes, but for its few fields beside the entries."""
+    return sum(len(orjson.dumps(list_entry(node))) + 1 for node in nodes)
--- /dev/null
+++ b/tests/scale/test_scale_runs.py
@@ -0,0 +1,147 @@
+"""Runs: what does not fit is left out and said so, an interrupt ends all children, small runs measure."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from oatcart.scale import runs, trial
+from oatcart.scale.children import Interrupted
+from oatcart.scale.configuration import FleetSettings, LimitSettings, RunSettings, Settings
+from oatcart.scale.figures import Delays, play, summarised
+from oatcart.scale.measurement import Measurement
+from oatcart.scale.runs import measure, sizes_of
+from oatcart.scale.trial import DoesNotFit, TrialSettings, check_fits
+
+SMALL = TrialSettings(
+    FleetSettings().scaled_to(40), seed=1, hollow=2, real=1, settle_s=0.1, quiet_s=0.3, changes=3
+)
+ENDED_WITHIN_S = 10.0
+
+
+def settings_with(sizes: dict[str, tuple[int, ...]]) -> Settings:
+    run = RunSettings(settle_for=0.1, measure_for=0.3, repeats=2, sizes=sizes)
+    return Settings(full=run, quick=run)
+
+
+def by_role(found: list[Measurement]) -> dict[str, Measurement]:
+    return {one.role: one for one in found}
+
+
+def test_a_trial_measures_every_role() -> None:
+    found = by_role(play(SMALL, "nodes", 40))
+    assert set(found) == {"discovery", "conductor", "hollow_conductor"}
+    assert all(one.left_out is None and one.core_share > 0 and one.resident_mb > 0 for one in found.values())
+    for one in found["conductor"], found["hollow_conductor"]:
+        assert 0 < one.change_median_s <= one.change_p99_s * 1.01 and one.change_last_s < 5.0
+        assert one.ready_s > 0 and one.ready_core_s > 0 and one.ready_bytes > 40 * 100
+    assert found["conductor"].ready_bytes == found["hollow_conductor"].ready_bytes
+    assert found["hollow_conductor"].longest_round_s > 0
+
+
+def test_a_list_over_the_protocols_limit_is_left_out_and_the_module_is_measured(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(trial, "MESSAGE_MOST", 1_000)
+    found = by_role(measure(settings_with({"nodes": (50,)}), True, None, lambda line: None))
+    assert "list" in found["conductor"].left_out and "refused" in found["hollow_conductor"].left_out
+    assert found["module"].left_out is None and found["module"].core_share > 0
+    assert found["module"].ready_bytes > 50 * 100
+
+
+def test_a_list_a_service_is_measured_beside_the_list_of_all() -> None:
+    found = by_role(measure(settings_with({"services": (200,)}), True, None, lambda line: None))
+    assert found["hollow_conductor"].ready_bytes > 10 * found["hollow_conductor_of_service"].ready_bytes
+    assert {"conductor", "conductor_of_service", "discovery", "discovery_of_service"} <= set(found)
+
+
+def test_more_routes_than_request_classes_are_left_out() -> None:
+    found = runs.Runs(settings_with({"routes": (2_300,)}), True, lambda line: None).routes(2_300)
+    assert {one.role for one in found} == {"conductor", "hollow_conductor"}
+    assert all("16 request classes" in one.left_out for one in found)
+
+
+def test_routes_are_also_measured_at_what_conductors_can_have() -> None:
+    run = RunSettings(sizes={"routes": (2_300, 4_600)})
+    assert sizes_of(run, None) == {"routes": [1, 2, 4, 8, 12, 16, 2_300, 4_600]}
+    assert sizes_of(run, ["nodes"]) == {}
+
+
+@pytest.mark.parametrize(
+    ("settings", "why"),
+    [
+        (replace(SMALL, real=40), "processes"),
+        (replace(SMALL, hollow=10_000_000), "descriptors"),
+    ],
+)
+def test_what_is_over_a_limit_does_not_fit(settings: TrialSettings, why: str) -> None:
+    with pytest.raises(DoesNotFit, match=why):
+        check_fits(settings, 1_000)
+
+
+def test_memory_over_the_limit_does_not_fit_and_ends_the_trial() -> None:
+    with pytest.raises(DoesNotFit, match="memory"):
+        play(replace(SMALL, limits=LimitSettings(memory=20 << 20)), "nodes", 40)
+
+
+def test_hollow_conductors_in_a_full_process_are_left_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("oatcart.scale.figures.FULL_CORE", 0.0001)
+    found = by_role(play(SMALL, "nodes", 40))
+    assert "cores" in found["hollow_conductor"].left_out and found["conductor"].left_out is None
+
+
+def test_delays_are_summed_up() -> None:
+    delays = summarised([0.001 * number for number in range(1, 101)])
+    assert delays.median_s == pytest.approx(0.050, rel=0.01) and delays.p99_s == pytest.approx(
+        0.099, rel=0.01
+    )
+    assert delays.last_s == 0.1
+    assert summarised([]) is None
+    assert isinstance(delays, Delays)
+
+
+def children_of(pid: int) -> list[int]:
+    return [
+        int(word)
+        for path in Path(f"/proc/{pid}/task").glob("*/children")
+        for word in path.read_text().split()
+    ]
+
+
+def alive(pid: int) -> bool:
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
+    except FileNotFoundError:
+        return False
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_an_interrupted_run_ends_all_children(number: signal.Signals) -> None:
+    program = (
+        "from oatcart.scale.configuration import RunSettings, Settings\n"
+        "from oatcart.scale.runs import measure\n"
+        "run = RunSettings(settle_for=60.0, measure_for=60.0, sizes={'conductors': (3,)})\n"
+        "measure(Settings(full=run, quick=run), True, None, print)\n"
+    )
+    with subprocess.Popen([sys.executable, "-c", program], stderr=subprocess.DEVNULL) as run:
+        until = time.monotonic() + ENDED_WITHIN_S
+        while len(children_of(run.pid)) < 5:  # discovery, hollow ones, peers, two real ones
+            assert run.poll() is None and time.monotonic() < until, children_of(run.pid)
+            time.sleep(0.05)
+        children = children_of(run.pid)
+        os.kill(run.pid, number)
+        assert run.wait(ENDED_WITHIN_S) != 0
+    assert not any(map(alive, children))
+
+
+def test_sigterm_is_the_callers_again_after_a_run() -> None:
+    before = signal.getsignal(signal.SIGTERM)
+    with pytest.raises(Interrupted), runs.ended_by_sigterm():
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(1.0)
+    assert signal.getsignal(signal.SIGTERM) is before
