The word on a withdrawn node that comes with its new line is booked for late joiners

Cause: that conductor starts anew while the zone's 50 nodes are gone; `turn_nodes` withdraws them with nobody joined, then 66 proxies join. `claim` reckoned such words only for proxies that hold others' orders.

Ruled out: lines nobody booked elsewhere (the other four conductors sent 0.5% fewer than booked), the pace by answers, silence taken for nobody left, proxies of two lives.

Change: a withdrawal bears its time (`Node.shut_at`), a proxy the time of its joining; `claim` takes the words line by line. Scenario told_of_withdrawn fails without it (twelve lines where nine fit); heard_of_withdrawn passes either way and holds those who heard it to one line.

All tests pass.

--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -4,8 +4,9 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from itertools import accumulate
 from math import ceil, inf
 from random import Random
 from statistics import median
@@ -105,8 +106,13 @@
     heads: int = 0  # of this round
     rounds: list[SentRound] = field(default_factory=list)  # not answered in full
 
-    def claim(self, proxies: dict[int, Proxy], lines: int, part: float, least: int = 0, new: int = 0) -> int:
-        """Book so many lines to each proxy, or as many from the least on as this part of the caps allows."""
+    def claim(
+        self, proxies: dict[int, Proxy], lines: int, part: float, least: int = 0, told: Sequence[int] = ()
+    ) -> int:
+        """Book so many lines to each proxy, or as many from the least on as this part of the caps allows.
+
+        `told`: for each line, how many proxies are told with it whether its node is withdrawn; else none.
+        """
         limits = self.limits
         fresh = [proxy for proxy in proxies.values() if not proxy.sent or proxy.sent[-1] < self.at]
         for proxy in fresh:
@@ -115,17 +121,17 @@
             if limits.messages_most and len(proxy.sent) + 1 >= limits.messages_most * part:  # one is spare
                 return 0
         heads = len(fresh) * (limits.head + 1)
-        held = sum(proxy.held for proxy in proxies.values()) if new else 0  # told if a new node is out
+        costs = list(accumulate(len(proxies) + more for more in told or [0] * lines))
         if limits.queue_most and proxies:  # all that no answer proves gone may wait still, however slow it is
             queue = limits.queue_most * QUEUE_PART - (self.booked - self.left)
             if part not in (URGENT_PART, 1.0):  # what waits delays drains too
                 part = part if part < URGENT_PART else QUEUE_PART
                 queue = min(queue, part * min(limits.queue_most, self.pace * ACK_WAIT) - self.queued)
-            room = (queue - heads) / (len(proxies) + held)
-            if room < (least or lines):
+            fitting = sum(cost <= queue - heads for cost in costs)
+            if fitting < (least or lines):
                 return 0
-            lines = min(lines, int(room))
-        self.queued += (cost := heads + lines * len(proxies) + min(lines, new) * held)
+            lines = fitting
+        self.queued += (cost := heads + max(costs[:lines]))
         self.booked, self.heads = self.booked + cost, self.heads + len(fresh)
         for proxy in fresh:
             proxy.sent.append(self.at)
@@ -265,7 +271,8 @@
 
     def take_joined(self, proxy: int, zone: int, usual: float, blank: bool) -> None:
         self.take_left(proxy)
-        self.proxies[proxy] = Proxy(zone, not blank, [usual / max(1, len(self.kinds))] * len(self.kinds))
+        rates = [usual / max(1, len(self.kinds))] * len(self.kinds)
+        self.proxies[proxy] = Proxy(zone, not blank, self.now, rates)
 
     def groups(self, zone: int) -> dict[tuple, dict[int, Node]]:
         """The nodes open to a zone's proxies, by their kinds, their zones and the preferred one."""
@@ -442,7 +449,7 @@
         part = self.drain_part(due.values(), URGENT_PART if out else RETURNS_PART)
         room = self.channel.claim(self.proxies, len(due), part, min(len(due), DRAINS_LEAST)) if due else 0
         for place in sorted(due, key=lambda at: (due[at].state == our.READY, due[at].turned_at))[:room]:
-            due[place].shut = out
+            due[place].shut_at = self.now if out else inf
             self.orders.withdraw(place, out)
 
     def drain_part(self, nodes: Iterable[Node], usual: float) -> float:  # drains share late messages
@@ -566,10 +573,11 @@
             if usual or bare or at in fresh or fresh and not (both[at][0] and self.channel.queued)
         ]
         part = RETURNS_PART if not usual else MISSING_PART if lacks else ORDINARY_PART
-        new = sum(not both[at][0] for at in due)
-        room = self.channel.claim(table.proxies, len(due), part, 1, new) if due else 0
-        rank = {at: (self.nodes[at].shut, both[at][0] > 0, -abs(changes[at] - both[at][0])) for at in due}
-        sent = {at: changes.pop(at) for at in sorted(due, key=rank.__getitem__)[:room]}
+        due.sort(key=lambda at: (self.nodes[at].shut, both[at][0] > 0, -abs(changes[at] - both[at][0])))
+        unaware = {since: table.unaware(since) for since in {self.nodes[at].shut_at for at in due}}
+        told = [0 if both[at][0] else unaware[self.nodes[at].shut_at] for at in due]
+        room = self.channel.claim(table.proxies, len(due), part, 1, told) if due else 0
+        sent = {at: changes.pop(at) for at in due[:room]}
         table.pending = changes
         for node, weight in sent.items():
             self.orders.line(table.place, node, weight)
--- a/oatcart/records.py
+++ b/oatcart/records.py
@@ -42,7 +42,12 @@
     out: bool = False  # withdrawn on evidence
     out_at: float = LONG_AGO
     passes: int = 0  # probes answered in a row
-    shut: bool = False  # the standing order at the proxies
+    shut_at: float = inf  # when the proxies were ordered to shut it out; inf: they are to use it
+
+    @property
+    def shut(self) -> bool:
+        """Whether the order to shut it out stands at the proxies."""
+        return self.shut_at < inf
 
 
 @dataclass(slots=True)
@@ -51,6 +56,7 @@
 
     zone: int
     held: bool  # orders of others: it may bring withdrawals, and is told of each node whether it is out
+    joined_at: float
     rates: list[float]  # requests a second by kind
     sent: deque[float] = field(default_factory=deque)  # when messages went to it
     bound: bool = False  # to its tables
@@ -79,6 +85,14 @@
     # by kind: share let in, way of trying again
     levels: dict[int, tuple[float, int]] = field(default_factory=dict)
 
+    def unaware(self, shut_at: float) -> int:
+        """How many of its proxies are told, with a new line, whether its node is shut out.
+
+        `shut_at`: when the node was shut out. Who joined before has heard of it. Of a node that is in use,
+        only those are told who others may have ordered to shut it out.
+        """
+        return sum(proxy.held or proxy.joined_at > shut_at for proxy in self.proxies.values())
+
 
 @dataclass(slots=True)
 class SentRound:
