--- a/oatcart/scale/measurement.py
+++ b/oatcart/scale/measurement.py
@@ -22,6 +22,11 @@
     title: str
     unit: str
 
+    @property
+    def label(self) -> str:
+        """The title with the unit."""
+        return f"{self.title} [{self.unit}]"
+
 
 QUANTITIES = (
     Quantity("core_share", "Quiet share of a core", "core"),
--- a/oatcart/scale/report.py
+++ b/oatcart/scale/report.py
@@ -51,13 +51,16 @@
 
 
 def dimension_table(dimension: str, measurements: Sequence[Measurement], budgets: Budgets) -> str:
-    """The measured costs of all roles at each size of one dimension; sizes left out say why below."""
-    quantities = [quantity for quantity in QUANTITIES if _is_measured(quantity, measurements)]
-    rows = [[dimension, "role", *(f"{quantity.title} [{quantity.unit}]" for quantity in quantities)]]
-    for measurement in measurements:
-        if measurement.left_out is None:
-            costs = [_cost(measurement, quantity, budgets) for quantity in quantities]
-            rows.append([number_text(measurement.size, whole=True), measurement.role, *costs])
+    """A row for each role and quantity measured, a column for each size; sizes left out say why below."""
+    done = [measurement for measurement in measurements if measurement.left_out is None]
+    sizes = sorted({measurement.size for measurement in measurements})
+    rows = [["role", dimension, *(number_text(size, whole=True) for size in sizes)]]
+    for role in dict.fromkeys(measurement.role for measurement in done):
+        of_role = [measurement for measurement in done if measurement.role == role]
+        for quantity in QUANTITIES:
+            if _is_measured(quantity, of_role):
+                costs = [_costs_at(size, of_role, quantity, budgets) for size in sizes]
+                rows.append([role, quantity.label, *costs])
     left_out = [
         f"left out: {number_text(one.size, whole=True)} {dimension}, {one.role}: {one.left_out}"
         for one in measurements
@@ -117,6 +120,12 @@
     return any(getattr(measurement, quantity.field) is not None for measurement in measurements)
 
 
+def _costs_at(size: float, measurements: Iterable[Measurement], quantity: Quantity, budgets: Budgets) -> str:
+    """The cost at a size; several if it was measured several times."""
+    costs = [_cost(one, quantity, budgets) for one in measurements if one.size == size]
+    return " / ".join(costs) or NOT_MEASURED
+
+
 def _cost(measurement: Measurement, quantity: Quantity, budgets: Budgets) -> str:
     value = getattr(measurement, quantity.field)
     if value is None:
@@ -126,7 +135,7 @@
 
 
 def _slope_row(found: QuantitySlope) -> list[str]:
-    start = [found.role, f"{found.quantity.title} [{found.quantity.unit}]"]
+    start = [found.role, found.quantity.label]
     slope, proof = found.slope, found.proof
     if slope is None:
         return [*start, *[NOT_MEASURED] * 7, found.missing or "no"]
--- a/tests/scale/test_scale_report.py
+++ b/tests/scale/test_scale_report.py
@@ -99,33 +99,42 @@
     text = text_report(measured(), analyse(measured()), Budgets())
     tables = text.split("\n\n")
     assert len(tables) == 4
-    sizes = tables[0].splitlines()
-    assert sizes[0].split("  ")[0] == "nodes"
-    assert "Quiet share of a core [core]" in sizes[0]
-    assert "Longest round" not in sizes[0]
-    assert sizes[1].split() == ["500", "conductor", "0.00110", "35.0"]
-    assert sizes[5].split() == ["27,000", "conductor", "0.0541!", "300!"]
-    assert sizes[6] == "left out: 50,000 nodes, conductor: needs 9 GiB of 8 GiB"
+    core, memory = tables[0].splitlines()[1:3]
+    assert tables[0].splitlines()[0].split() == [
+        *("role", "nodes", "500", "1,500", "4,000", "9,000", "27,000", "50,000")
+    ]
+    assert core.startswith("conductor  Quiet share of a core [core]  ")
+    assert core.split()[-6:] == ["0.00110", "0.00310", "0.00810", "0.0181", "0.0541!", "-"]
+    assert memory.split()[-6:] == ["35.0", "45.0", "70.0", "120", "300!", "-"]
+    assert tables[0].splitlines()[3:] == ["left out: 50,000 nodes, conductor: needs 9 GiB of 8 GiB"]
+    assert "Longest round" not in text
+
+
+def test_a_size_measured_twice_shows_both():
+    twice = [*measured()[:2], replace(measured()[0], core_share=0.5)]
+    core = text_report(twice, [], Budgets()).splitlines()[1]
+    assert core.endswith("0.00110 / 0.500!  0.00310")
 
 
 def test_only_conductors_have_budgets():
     text = text_report(measured(), [], Budgets())
-    assert [line.split() for line in text.splitlines() if "control" in line] == [["10", "control", "0.500"]]
+    (control,) = [line for line in text.splitlines() if line.startswith("control")]
+    assert control.split()[-1] == "0.500"
 
 
 def test_the_slopes_tell_form_proof_and_what_is_missing():
-    lines = text_report(measured(), analyse(measured()), Budgets()).splitlines()
-    (core,) = [line for line in lines if line.startswith("conductor  Quiet share")]
+    _, nodes, _, routes = text_report(measured(), analyse(measured()), Budgets()).split("\n\n")
+    (core,) = [line for line in nodes.splitlines() if line.startswith("conductor  Quiet share")]
     assert "a + b n " in core
     assert core.endswith("yes")
-    (control,) = [line for line in lines if line.startswith("control  Quiet share")]
+    (control,) = [line for line in routes.splitlines() if line.startswith("control  Quiet share")]
     assert control.endswith("1 sizes measured; a fit needs 4")
 
 
 def test_a_slope_that_fails_its_proof_is_said_so():
     bent = [one if one.size < 27_000 else replace(one, core_share=0.5) for one in measured()]
-    lines = text_report(bent, analyse(bent), Budgets()).splitlines()
-    (core,) = [line for line in lines if line.startswith("conductor  Quiet share")]
+    slopes = text_report(bent, analyse(bent), Budgets()).split("\n\n")[1]
+    (core,) = [line for line in slopes.splitlines() if line.startswith("conductor  Quiet share")]
     assert core.endswith("89%  NOT PROVED (over 20%)")
 
 
