--- a/oatcart/scale/agreement.py
+++ b/oatcart/scale/agreement.py
@@ -127,7 +127,7 @@
         yield within(
             f"peers {field}", *(fmean(getattr(one, field) for one in some) for some in (hollow, real))
         )
-    held = trial.discovery.held().held
+    held = trial.held_revisions()
     yield same(
         "revision",
         *(
--- a/oatcart/scale/children.py
+++ b/oatcart/scale/children.py
@@ -24,6 +24,8 @@
 END_WITHIN_S = 3.0  # from SIGTERM to SIGKILL
 SHOWN_OF_ERRORS = 2000  # letters of a child's standard error in an error message
 MEGABYTE = 1e6
+NANOSECONDS = 1e9  # in a second
+_USER_TICKS, _SYSTEM_TICKS = 11, 12  # fields of /proc/PID/stat behind the program's name
 _SET_PARENT_DEATH_SIGNAL = 1  # prctl's PR_SET_PDEATHSIG
 _LIBC = ctypes.CDLL(None, use_errno=True)
 
@@ -37,8 +39,22 @@
 
 
 def core_seconds(pid: int) -> float:
-    """Processor seconds that a process has used, from the scheduler's nanosecond count; raises OSError."""
-    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+    """Processor seconds that all threads of a process have used; raises OSError when it has ended.
+
+    The scheduler's count is in nanoseconds but lacks threads that have ended; the process's own count has
+    them, in ticks of a hundredth of a second.
+    """
+    running = sum(_thread_core_ns(path) for path in Path(f"/proc/{pid}/task").iterdir()) / NANOSECONDS
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
+    return max(running, ticks / os.sysconf("SC_CLK_TCK"))
+
+
+def _thread_core_ns(task: Path) -> int:
+    try:
+        return int((task / "schedstat").read_text().split()[0])
+    except (FileNotFoundError, ProcessLookupError):
+        return 0  # it has just ended
 
 
 def resident_megabytes(pid: int) -> float:
--- a/oatcart/scale/conductor_settings.py
+++ b/oatcart/scale/conductor_settings.py
@@ -14,7 +14,7 @@
 
 ROUTES_MOST = 16  # request classes of a conductor: they are bits of one number, by the protocol's messages
 SERVING, DRAINING = "SERVING", "DRAINING"
-MACHINE_FLAVOR = "standard"
+MACHINE_FLAVOR = "m2"
 MILLISECONDS = 1000.0
 WARM_AFTER_S = 10.0  # that a node needs after its start until it can be loaded fully
 
@@ -73,7 +73,7 @@
     ]
 
 
-def list_entry(node: PlannedNode, phase: str = SERVING, up_since_ms: float = 0.0) -> dict:
+def list_entry(node: PlannedNode, phase: str = SERVING, up_since_ms: int = 0) -> dict:
     """A node's entry at discovery; `service` and `region` are extra fields that conductors ignore."""
     return {
         "id": node.id,
@@ -102,7 +102,7 @@
             self._draining = self._random.choice(self._nodes)
             return list_entry(self._draining, DRAINING)
         restarted, self._draining = self._draining, None
-        return list_entry(restarted, SERVING, unix_s * MILLISECONDS)
+        return list_entry(restarted, SERVING, round(unix_s * MILLISECONDS))
 
 
 def nodes_of_lists(
--- a/oatcart/scale/discovery.py
+++ b/oatcart/scale/discovery.py
@@ -192,12 +192,10 @@
         """One new revision of a list, told to all its watchers."""
         nodes = self.lists.setdefault(list_name, NodeList())
         waiting = self.waiting.setdefault(list_name, {})
-        at = time.monotonic()
         revision = nodes.change(entries)
-        self.changed_at.setdefault(list_name, []).append(at)
         for connection in list(waiting):
             connection.answer_watch()
-        return {"revision": revision, "at": at}
+        return {"revision": revision}
 
     def outage(self, down: bool) -> dict:
         """Resets all connections and every new one, until told otherwise; lists and revisions stay."""
@@ -217,11 +215,8 @@
         }
 
     def held(self) -> dict:
-        """When each revision of each list was made, and which revisions each client had when."""
-        return {
-            "changed_at": self.changed_at,
-            "clients": {name: [one.list_name, one.held] for name, one in self.accounts.items()},
-        }
+        """Which revisions each client had when."""
+        return {"clients": {name: one.held for name, one in self.accounts.items()}}
 
     def open(self, clients: list[str], list_name: str) -> dict:
         """A port for each client of one list."""
@@ -260,14 +255,6 @@
     clients: dict[str, ClientFigures]
 
 
-class HeldFigures(NamedTuple):
-    """When revisions were made, by list, and which revisions each client had when."""
-
-    changed_at: dict[str, list[float]]
-    lists: dict[str, str]
-    held: dict[str, list[HeldRevision]]
-
-
 class Discovery(Child):
     """The parent's side of the stand-in process."""
 
@@ -291,32 +278,10 @@
         clients = {name: ClientFigures(*figures) for name, figures in told["clients"].items()}
         return DiscoveryFigures(Usage(**told["usage"]), clients)
 
-    def held(self) -> HeldFigures:
-        told = self.ask("held")
-        lists = {name: list_name for name, (list_name, _) in told["clients"].items()}
-        held = {name: [HeldRevision(*one) for one in some] for name, (_, some) in told["clients"].items()}
-        return HeldFigures(told["changed_at"], lists, held)
-
-
-def change_delays(
-    figures: HeldFigures, clients: Collection[str], after: float, until: float
-) -> tuple[list[float], int]:
-    """Seconds from each change made in a span to each client's having it; and how many were never had."""
-    delays: list[float] = []
-    missing = 0
-    for client in clients:
-        held = figures.held[client]
-        place = 0
-        for number, at in enumerate(figures.changed_at[figures.lists[client]], start=1):
-            if not after <= at < until:
-                continue
-            while place < len(held) and held[place].revision < number:
-                place += 1
-            if place == len(held):
-                missing += 1
-            else:
-                delays.append(held[place].at - at)
-    return delays, missing
+    def held(self) -> dict[str, list[HeldRevision]]:
+        """Which revisions each client had when."""
+        clients = self.ask("held")["clients"]
+        return {name: [HeldRevision(*one) for one in some] for name, some in clients.items()}
 
 
 async def serve() -> None:
--- a/oatcart/scale/figures.py
+++ b/oatcart/scale/figures.py
@@ -1,7 +1,7 @@
 """Plays a trial and turns its counters into measurements, one for each role."""
 
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
 from statistics import fmean
 from typing import NamedTuple
@@ -9,21 +9,17 @@
 from hdrh.histogram import HdrHistogram
 
 from oatcart.scale.conductor_settings import NodeChanges
-from oatcart.scale.discovery import ClientFigures, HeldFigures, HeldRevision, change_delays
-from oatcart.scale.hollow import HollowFigures
+from oatcart.scale.discovery import ClientFigures
 from oatcart.scale.measurement import Measurement
 from oatcart.scale.trial import DoesNotFit, Reading, Ready, Trial, TrialSettings, running
 
-HOLLOW_ROLE, REAL_ROLE, DISCOVERY_ROLE = "hollow_conductor", "conductor", "discovery"
+HOLLOW_ROLE, REAL_ROLE = "hollow_conductor", "conductor"
+DISCOVERY_ROLE, CONTROL_ROLE = "discovery", "control"
 FULL_CORE = 0.9  # of a core: hollow conductors whose process needs more are late by its fault, not theirs
 MICROSECONDS = 1e6
 DELAY_MOST_US, DELAY_DIGITS = 120_000_000, 3  # of the histogram of delays
 
 
-class ChangesLost(RuntimeError):
-    """Changes that some conductor never had, though the trial waited for the last one."""
-
-
 class Delays(NamedTuple):
     """Seconds from changes to conductors that have them."""
 
@@ -33,14 +29,11 @@
 
 
 class Observed(NamedTuple):
-    """What a trial has shown: readings before and after the measured span, and who had which change when."""
+    """What a trial has shown: readings before and after the measured span, and how late changes came."""
 
     before: Reading
     after: Reading
-    held: HeldFigures
-    hollow: list[HollowFigures]
-    changes_from: float
-    changes_until: float
+    delays: dict[str, list[float]]  # by conductor, seconds from each change until it had it
 
     @property
     def span_s(self) -> float:
@@ -57,14 +50,15 @@
     messages_out_s: float
 
 
-def play(settings: TrialSettings, dimension: str, size: float) -> list[Measurement]:
-    """The measurements of one trial; raises DoesNotFit, NotReady, ChildError, ChangesLost."""
-    with running(settings) as trial:
+def play(
+    settings: TrialSettings, dimension: str, size: float, kind: type[Trial] = Trial
+) -> list[Measurement]:
+    """The measurements of one trial; raises DoesNotFit, NotReady, ChildError."""
+    with running(settings, kind) as trial:
         trial.start()
         trial.join_peers()
         time.sleep(settings.settle_s)
-        observed = observe(trial)
-        return measured(trial, observed, dimension, size)
+        return measured(trial, observe(trial), dimension, size)
 
 
 def observe(trial: Trial) -> Observed:
@@ -75,15 +69,11 @@
     if not settings.measure_under_changes:
         time.sleep(settings.quiet_s)
         after = trial.read()
-    changes_from = time.monotonic()
     trial.make_changes(changes, settings.changes, settings.changes_per_s)
     if settings.measure_under_changes:
         time.sleep(max(0.0, before.at + settings.quiet_s - time.monotonic()))
         after = trial.read()
-    changes_until = time.monotonic()
-    held = trial.wait_for_changes()
-    hollow = trial.hollows.figures().conductors if trial.hollows else []
-    return Observed(before, after, held, hollow, changes_from, changes_until)
+    return Observed(before, after, trial.wait_for_changes())
 
 
 def measured(trial: Trial, observed: Observed, dimension: str, size: float) -> list[Measurement]:
@@ -93,11 +83,13 @@
         readers[REAL_ROLE] = real_measurement
     if trial.hollows:
         readers[HOLLOW_ROLE] = hollow_measurement
+    if trial.control_usage():
+        readers[CONTROL_ROLE] = control_measurement
     measurements = []
     for role, reader in readers.items():
         try:
             measurements.append(reader(trial, observed, dimension, size))
-        except (DoesNotFit, ChangesLost) as error:
+        except DoesNotFit as error:
             measurements.append(Measurement(dimension, size, role, left_out=str(error)))
     return measurements
 
@@ -119,8 +111,7 @@
         longest_round_s=max(one.longest_s for one in after.conductors),
         resident_mb=(after.usage.resident_mb - trial.hollow_before_mb) / trial.settings.hollow,
     )
-    delays = hollow_delays(trial.hollow_names, observed)
-    return with_common(empty, trial.hollow_names, trial.ready, observed, delays)
+    return with_common(empty, trial.hollow_names, trial.ready, observed)
 
 
 def real_measurement(trial: Trial, observed: Observed, dimension: str, size: float) -> Measurement:
@@ -135,23 +126,15 @@
         core_share=fmean(spent) / observed.span_s,
         resident_mb=fmean(one.resident_mb for one in observed.after.real),
     )
-    delays, missing = change_delays(
-        observed.held, trial.real_names, observed.changes_from, observed.changes_until
-    )
-    if missing:
-        raise ChangesLost(f"{missing} changes never came to a real conductor")
-    return with_common(empty, trial.real_names, trial.ready, observed, delays)
+    return with_common(empty, trial.real_names, trial.ready, observed)
 
 
 def with_common(
-    measurement: Measurement,
-    names: Sequence[str],
-    ready: dict[str, Ready],
-    observed: Observed,
-    delays: Sequence[float],
+    measurement: Measurement, names: Sequence[str], ready: dict[str, Ready], observed: Observed
 ) -> Measurement:
     """Adds what is read alike for hollow and real conductors: traffic, delays, readiness."""
-    traffic, summary = mean_traffic(observed, names), summarised(delays)
+    traffic = mean_traffic(observed, names)
+    summary = summarised([delay for name in names for delay in observed.delays[name]])
     starts = [ready[name] for name in names]
     return replace(
         measurement,
@@ -166,33 +149,56 @@
 
 
 def discovery_measurement(trial: Trial, observed: Observed, dimension: str, size: float) -> Measurement:
-    """The stand-in discovery: its process, and its traffic with all conductors together."""
+    """The stand-in discovery: its process, and its traffic with all clients together."""
     before, after = observed.before.discovery, observed.after.discovery
-    sums = [
-        sum(
-            getattr(after.clients[name], field) - getattr(before.clients[name], field)
-            for name in after.clients
-        )
-        / observed.span_s
-        for field in ClientFigures._fields
-    ]
-    bytes_in, bytes_out, messages_in, messages_out = sums  # what clients send comes in here
+    sums = summed(before.clients, after.clients)
     return Measurement(
         dimension,
         size,
         DISCOVERY_ROLE,
         core_share=(after.usage.core_s - before.usage.core_s) / observed.span_s,
         resident_mb=after.usage.resident_mb,
-        bytes_in_s=bytes_in,
-        bytes_out_s=bytes_out,
-        messages_in_s=messages_in,
-        messages_out_s=messages_out,
+        bytes_in_s=sums.bytes_out / observed.span_s,
+        bytes_out_s=sums.bytes_in / observed.span_s,
+        messages_in_s=sums.messages_out / observed.span_s,
+        messages_out_s=sums.messages_in / observed.span_s,
+    )
+
+
+def control_measurement(trial: Trial, observed: Observed, dimension: str, size: float) -> Measurement:
+    """The control role: its process, and its traffic with discovery and all conductors together."""
+    before, after = observed.before, observed.after
+    served = summed(before.clients, after.clients)
+    followed = summed(before.discovery.clients, after.discovery.clients)
+    return Measurement(
+        dimension,
+        size,
+        CONTROL_ROLE,
+        core_share=(after.control.core_s - before.control.core_s) / observed.span_s,
+        resident_mb=after.control.resident_mb,
+        bytes_in_s=(served.bytes_out + followed.bytes_in) / observed.span_s,
+        bytes_out_s=(served.bytes_in + followed.bytes_out) / observed.span_s,
+        messages_in_s=(served.messages_out + followed.messages_in) / observed.span_s,
+        messages_out_s=(served.messages_in + followed.messages_out) / observed.span_s,
+        ready_s=trial.control_ready.after_s,
+        ready_core_s=trial.control_ready.core_s,
+        ready_bytes=trial.control_ready.bytes_received,
+    )
+
+
+def summed(before: Mapping[str, ClientFigures], after: Mapping[str, ClientFigures]) -> ClientFigures:
+    """The traffic of all clients together between two readings, as they see it."""
+    return ClientFigures(
+        *(
+            sum(getattr(after[name], field) - getattr(before[name], field) for name in after)
+            for field in ClientFigures._fields
+        )
     )
 
 
 def mean_traffic(observed: Observed, names: Iterable[str]) -> Traffic:
-    """The mean traffic of some conductors with discovery in the measured span."""
-    before, after = observed.before.discovery.clients, observed.after.discovery.clients
+    """The mean control traffic of some conductors in the measured span."""
+    before, after = observed.before.clients, observed.after.clients
     means = {
         field: fmean(getattr(after[name], field) - getattr(before[name], field) for name in names)
         / observed.span_s
@@ -201,19 +207,6 @@
     return Traffic(means["bytes_in"], means["bytes_out"], means["messages_in"], means["messages_out"])
 
 
-def hollow_delays(names: Sequence[str], observed: Observed) -> list[float]:
-    """Seconds from each change to the round that ran on it, at every hollow conductor; raises ChangesLost."""
-    taken = {
-        name: [HeldRevision(at, revision, 0) for at, revision in one.taken]
-        for name, one in zip(names, observed.hollow, strict=True)
-    }
-    figures = observed.held._replace(held=taken)
-    delays, missing = change_delays(figures, names, observed.changes_from, observed.changes_until)
-    if missing:
-        raise ChangesLost(f"{missing} changes never came to a hollow conductor")
-    return delays
-
-
 def summarised(delays: Sequence[float]) -> Delays | None:
     """Median, 99th percentile and maximum of some delays; None of none."""
     if not delays:
--- a/oatcart/scale/hollow.py
+++ b/oatcart/scale/hollow.py
@@ -20,7 +20,7 @@
 from typing import NamedTuple, TextIO
 
 from oatcart.handover import seconds, socket_records
-from oatcart.net.codec import Codec
+from oatcart.net.codec import Codec, Odd
 from oatcart.net.conductor import Rounds
 from oatcart.net.log import Log
 from oatcart.net.loop import IN, Loop, Steps, Task, Wait
@@ -197,10 +197,13 @@
         self.hear(peers.joins())
 
     def hear(self, messages: list[PeerMessage]) -> None:
-        """Reads the lines of its peers as the acceptor's tasks would; marks not asked for are skipped."""
+        """Reads the lines of its peers as the acceptor's tasks would; what a real one skips is skipped."""
         with self.meter:
             for message in messages:
-                arrival = self.rounds.codec.arrival(memoryview(message.line))
+                try:
+                    arrival = self.rounds.codec.arrival(memoryview(message.line))
+                except Odd:  # a node that is not listed
+                    continue
                 if arrival[0] == "joined":
                     self.rounds.join(message.proxy, arrival[-1], HollowStream(self.peers, message.proxy))
                 elif arrival[0] == "applied" and not self.rounds.asked(message.proxy, arrival[2]):
--- a/oatcart/scale/runs.py
+++ b/oatcart/scale/runs.py
@@ -14,6 +14,9 @@
 * `proxies`: proxies of one conductor, each with its usage reports and its stream.
 * `changes`: changes of the list, told as changes a day, measured while they are made.
 
+Conductors and nodes are also grown behind the control role, where each conductor follows a bounded view: the
+roles `viewed_conductor`, `viewed_hollow_conductor`, `control` and `discovery_of_control`.
+
 A conductor fetches the whole list every 20 s. A full run measures for a multiple of that, whatever the file
 tells;
 a quick run does not: its bytes and processor time leave these fetches out.
@@ -29,20 +32,29 @@
 from oatcart.policy import FETCH_EVERY
 from oatcart.scale.children import raise_interrupted
 from oatcart.scale.conductor_settings import ROUTES_MOST, conductor_settings, list_entry, route_names
-from oatcart.scale.configuration import DAY_S, RunSettings, Settings
-from oatcart.scale.figures import HOLLOW_ROLE, REAL_ROLE, ChangesLost, play
+from oatcart.scale.configuration import DAY_S, FleetSettings, RunSettings, Settings
+from oatcart.scale.figures import CONTROL_ROLE, DISCOVERY_ROLE, HOLLOW_ROLE, REAL_ROLE, play
 from oatcart.scale.fleet import plan_fleet
 from oatcart.scale.measurement import Measurement
 from oatcart.scale.module_rounds import module_figures
 from oatcart.scale.peers import PeerSettings
 from oatcart.scale.real import NotReady
-from oatcart.scale.trial import DoesNotFit, TrialSettings
+from oatcart.scale.trial import DoesNotFit, Trial, TrialSettings
+from oatcart.scale.view_trial import ViewTrial
 
 MODULE_ROLE = "module"
 OF_SERVICE = "_of_service"
+VIEWED_ROLES = {
+    REAL_ROLE: "viewed_conductor",
+    HOLLOW_ROLE: "viewed_hollow_conductor",
+    CONTROL_ROLE: CONTROL_ROLE,
+    DISCOVERY_ROLE: "discovery_of_control",
+}
 ROUTES_MEASURED = 1, 2, 4, 8, 12, 16  # request classes, beside what the file asks for
 BASE_NODES = 200  # where nodes are not what grows
 CONDUCTORS_NODES = 50  # a list small enough for many conductors in one process
+VIEWS_NODES = 2_000  # behind the control role: more than the bound of a view
+VIEWED, VIEWED_QUICK = 24, 6  # hollow conductors behind the control role where nodes grow
 SERVICES_NODES = 2_000  # enough for two nodes in each of 720 services, few enough for one list
 HOLLOW_BESIDE, REAL_BESIDE = 4, 2  # conductors where they are not what grows
 HOLLOW_OF_LARGE_LIST, REAL_OF_LARGE_LIST = 1, 1  # each may take up a good part of a core
@@ -79,13 +91,18 @@
             changes=self.run.repeats,
             changes_per_s=CHANGES_PER_S,
             limits=settings.limits,
+            view=settings.view,
         )
 
     def conductors(self, size: int) -> list[Measurement]:
         """So many hollow conductors, with a few real ones beside them."""
         real = min(size, REAL_MOST_QUICK if self.quick else REAL_MOST)
         fleet = self.settings.fleet.scaled_to(CONDUCTORS_NODES)
-        return self._play("conductors", size, replace(self.base, fleet=fleet, hollow=size, real=real))
+        trial = replace(self.base, fleet=fleet, hollow=size, real=real)
+        behind = replace(trial, fleet=self._fleet_with(VIEWS_NODES, size))
+        if self.quick:  # what grows with conductors is the control role
+            return self._play_viewed("conductors", size, behind)
+        return self._play("conductors", size, trial) + self._play_viewed("conductors", size, behind)
 
     def nodes(self, size: int) -> list[Measurement]:
         """One list of so many nodes; the module alone beside it."""
@@ -95,7 +112,13 @@
             hollow=HOLLOW_OF_LARGE_LIST,
             real=REAL_OF_LARGE_LIST,
         )
-        return [*self._play("nodes", size, trial), self._module(size, trial)]
+        hollow = VIEWED_QUICK if self.quick else VIEWED
+        behind = replace(trial, fleet=self._fleet_with(size, hollow), hollow=hollow)
+        return [
+            *self._play("nodes", size, trial),
+            self._module(size, trial),
+            *self._play_viewed("nodes", size, behind),
+        ]
 
     def services(self, size: int) -> list[Measurement]:
         """So many services in one list, and in a list each."""
@@ -135,11 +158,21 @@
         )
         return self._play("changes", size, trial)
 
-    def _play(self, dimension: str, size: float, trial: TrialSettings) -> list[Measurement]:
+    def _fleet_with(self, nodes: int, conductors: int) -> FleetSettings:
+        return replace(self.settings.fleet.scaled_to(nodes), conductors=conductors)
+
+    def _play_viewed(self, dimension: str, size: float, trial: TrialSettings) -> list[Measurement]:
+        """A trial behind the control role, whose roles have names of their own."""
+        found = self._play(dimension, size, trial, ViewTrial)
+        return [replace(one, role=VIEWED_ROLES[one.role]) for one in found]
+
+    def _play(
+        self, dimension: str, size: float, trial: TrialSettings, kind: type[Trial] = Trial
+    ) -> list[Measurement]:
         """The measurements of a trial; where it does not fit, why."""
         try:
-            return play(trial, dimension, size)
-        except (DoesNotFit, NotReady, ChangesLost) as error:
+            return play(trial, dimension, size, kind)
+        except (DoesNotFit, NotReady) as error:
             roles = [role for role, count in ((REAL_ROLE, trial.real), (HOLLOW_ROLE, trial.hollow)) if count]
             return [Measurement(dimension, size, role, left_out=str(error)) for role in roles]
 
--- a/oatcart/scale/trial.py
+++ b/oatcart/scale/trial.py
@@ -29,7 +29,7 @@
 import orjson
 
 from oatcart.net.stream import MESSAGE_MOST
-from oatcart.scale.children import MEGABYTE
+from oatcart.scale.children import MEGABYTE, ChildProcess
 from oatcart.scale.conductor_settings import (
     WARM_AFTER_S,
     NodeChanges,
@@ -38,12 +38,13 @@
     nodes_of_lists,
     route_names,
 )
-from oatcart.scale.configuration import FleetSettings, LimitSettings
+from oatcart.scale.configuration import FleetSettings, LimitSettings, ViewSettings
 from oatcart.scale.discovery import (
     MAIN_LIST,
+    ClientFigures,
     Discovery,
     DiscoveryFigures,
-    HeldFigures,
+    HeldRevision,
     Usage,
 )
 from oatcart.scale.fleet import FleetPlan, PlannedNode, plan_fleet
@@ -83,6 +84,7 @@
     measure_under_changes: bool = False
     lists_by_service: bool = False
     limits: LimitSettings = LimitSettings()
+    view: ViewSettings = ViewSettings()
 
 
 class Ready(NamedTuple):
@@ -93,11 +95,22 @@
     bytes_received: int
 
 
+class MadeChange(NamedTuple):
+    """A change of the list, made at a moment: monotonic seconds, revision, the node changed."""
+
+    at: float
+    list_name: str
+    revision: int
+    node: str
+
+
 class Reading(NamedTuple):
-    """All counters at one moment of a trial."""
+    """All counters at one moment of a trial; `clients` is the control traffic of each conductor."""
 
     at: float
     discovery: DiscoveryFigures
+    clients: dict[str, ClientFigures]
+    control: Usage | None
     hollow: HollowReading | None
     real: list[Usage]
 
@@ -127,7 +140,7 @@
     def __init__(self, settings: TrialSettings, plan: FleetPlan, processes: ExitStack) -> None:
         self.settings, self.plan, self._processes = settings, plan, processes
         self.lists = nodes_of_lists(plan.nodes, settings.lists_by_service, MAIN_LIST)
-        check_fits(settings, max(list_size(nodes) for nodes in self.lists.values()))
+        self.check_fits()
         self.conductor_settings = conductor_settings(
             list(plan.zone_regions),
             settings.routes,
@@ -135,14 +148,21 @@
             settings.tenants,
             settings.warm_after_s,
         )
+        self.routes = route_names(settings.routes)
         self.hollow_names = [f"hollow-{number}" for number in range(settings.hollow)]
         self.real_names = [f"real-{number}" for number in range(settings.real)]
         self.discovery: Discovery = processes.enter_context(Discovery())
-        self.hollows: Hollows | None = None
-        self.peers: PeerSockets | None = None
+        self.hollows = processes.enter_context(Hollows()) if settings.hollow else None
+        self.peers = processes.enter_context(PeerSockets()) if settings.real else None
         self.real: list[RealConductor] = []
         self.hollow_before_mb = 0.0
         self.ready: dict[str, Ready] = {}
+        self.control_ready: Ready | None = None
+        self.made: list[MadeChange] = []
+
+    def check_fits(self) -> None:
+        """Raises DoesNotFit where a limit is known to be exceeded before anything is started."""
+        check_fits(self.settings, max(list_size(nodes) for nodes in self.lists.values()))
 
     @property
     def names(self) -> list[str]:
@@ -158,24 +178,39 @@
         """Starts everything, waits until all are ready; raises DoesNotFit, NotReady, ChildError."""
         for name, nodes in self.lists.items():
             self.discovery.change([list_entry(node) for node in nodes], name)
-        ports = {}
-        for name in self.names:
-            ports |= self.discovery.open([name], self.list_of(name))
-        if self.hollow_names:
-            self.hollows = self._processes.enter_context(Hollows())
+        ports = self.open_ports()
+        if self.hollows:
             self.hollow_before_mb = self.hollows.figures().usage.resident_mb
             seeds = [self.settings.seed + number for number in range(self.settings.hollow)]
             self.hollows.start_conductors(
                 self.conductor_settings, [ports[name] for name in self.hollow_names], seeds
             )
         if self.real_names:
-            self.peers = self._processes.enter_context(PeerSockets())
             seeds = [self.settings.seed + number for number in range(self.settings.real)]
             self.real = self._processes.enter_context(
                 real_conductors(self.conductor_settings, [ports[name] for name in self.real_names], seeds)
             )
         self._wait_ready()
 
+    def open_ports(self) -> dict[str, int]:
+        """Where each conductor is to ask for its list."""
+        ports = {}
+        for name in self.names:
+            ports |= self.discovery.open([name], self.list_of(name))
+        return ports
+
+    def client_figures(self, discovery: DiscoveryFigures) -> dict[str, ClientFigures]:
+        """The control traffic of each conductor."""
+        return discovery.clients
+
+    def control_usage(self) -> Usage | None:
+        """The usage of the control role, where there is one."""
+        return None
+
+    def held_revisions(self) -> dict[str, list[HeldRevision]]:
+        """Which revisions of its list each conductor had when."""
+        return self.discovery.held()
+
     def join_peers(self, keep_orders: bool = False) -> None:
         """Lets the proxies of all conductors join; from then on they report."""
         if self.hollows:
@@ -195,7 +230,7 @@
             seed=self.settings.seed + number,
             proxies=self.settings.proxies,
             zone=zones[number % len(zones)],
-            routes=route_names(self.settings.routes),
+            routes=self.routes,
             nodes=tuple(node.id for node in self.lists[self.list_of(name)]),
         )
 
@@ -203,7 +238,9 @@
         """All counters now; raises DoesNotFit where memory is over the limit."""
         reading = Reading(
             time.monotonic(),
-            self.discovery.figures(),
+            discovery := self.discovery.figures(),
+            self.client_figures(discovery),
+            self.control_usage(),
             self.hollows.figures() if self.hollows else None,
             [Usage(one.core_seconds(), one.resident_megabytes()) for one in self.real],
         )
@@ -215,28 +252,48 @@
         first = time.monotonic()
         for number in range(count):
             time.sleep(max(0.0, first + number / per_s - time.monotonic()))
-            entry = changes.next_entry(time.time())
-            self.discovery.change([entry], entry["service"] if self.settings.lists_by_service else MAIN_LIST)
+            self.make_change(changes.next_entry(time.time()))
+
+    def make_change(self, entry: dict) -> None:
+        """Changes one node's entry in its list."""
+        name = entry["service"] if self.settings.lists_by_service else MAIN_LIST
+        at = time.monotonic()
+        self.made.append(MadeChange(at, name, self.discovery.change([entry], name), entry["id"]))
 
-    def wait_for_changes(self) -> HeldFigures:
-        """Waits until every conductor has the last revision of its list; raises NotReady."""
+    def wait_for_changes(self) -> dict[str, list[float]]:
+        """Seconds from each change to each conductor's having it; raises NotReady where one never had it."""
         until = time.monotonic() + LAST_CHANGE_WITHIN_S
         while True:
-            figures = self.discovery.held()
-            late = [
-                name
-                for name in self.names
-                if figures.held[name][-1].revision < len(figures.changed_at[figures.lists[name]])
-            ]
-            if not late:
-                return figures
+            delays, missing = self.change_delays()
+            if not missing:
+                return delays
             if time.monotonic() > until:
-                raise NotReady(f"{len(late)} conductors lack a change after {LAST_CHANGE_WITHIN_S:.0f} s")
+                raise NotReady(f"{missing} changes lack a conductor after {LAST_CHANGE_WITHIN_S:.0f} s")
             time.sleep(LOOK_EVERY_S)
 
+    def change_delays(self) -> tuple[dict[str, list[float]], int]:
+        """Of each conductor the delays of the changes made, and how many it does not have yet, of all.
+
+        A hollow conductor has a change once a round has run on it, a real one once it asks on from it.
+        """
+        held = self.held_revisions()
+        if self.hollows:
+            for name, one in zip(self.hollow_names, self.hollows.figures().conductors, strict=True):
+                held[name] = [HeldRevision(at, revision, 0) for at, revision in one.taken]
+        delays, missing = {}, 0
+        for name in self.names:
+            made = [change for change in self.made if change.list_name == self.list_of(name)]
+            had = [first_holding(held[name], change.revision) for change in made]
+            delays[name] = [at - change.at for at, change in zip(had, made, strict=True) if at is not None]
+            missing += had.count(None)
+        return delays, missing
+
+    def running_processes(self) -> list[ChildProcess]:
+        """All processes of the trial."""
+        return [one for one in (self.discovery, self.hollows, self.peers, *self.real) if one]
+
     def _check_memory(self) -> None:
-        processes = [one for one in (self.discovery, self.hollows, self.peers, *self.real) if one]
-        resident = sum(one.resident_megabytes() for one in processes) * MEGABYTE
+        resident = sum(one.resident_megabytes() for one in self.running_processes()) * MEGABYTE
         if resident > self.settings.limits.memory:
             raise DoesNotFit(
                 f"{resident:.0f} bytes of memory are over the limit of {self.settings.limits.memory}"
@@ -250,17 +307,17 @@
                     f"{len(self.names) - len(self.ready)} conductors hold no list: {self.errors()}"
                 )
             time.sleep(LOOK_EVERY_S)
-            self._note_ready(self.discovery.held())
+            self._note_ready(self.held_revisions())
             self._check_memory()
         hollow = self.hollows.figures().conductors if self.hollows else []
         for name, one in zip(self.hollow_names, hollow, strict=True):
             self.ready[name] = Ready(one.ready_after_s, one.ready_core_s, self.ready[name].bytes_received)
 
-    def _note_ready(self, figures: HeldFigures) -> None:
+    def _note_ready(self, revisions: dict[str, list[HeldRevision]]) -> None:
         """Conductors that have asked on from a revision by now. Hollow ones tell the rest themselves."""
         real = dict(zip(self.real_names, self.real, strict=True))
         for name in self.names:
-            held = next((one for one in figures.held[name] if one.revision), None)
+            held = next((one for one in revisions[name] if one.revision), None)
             if name not in self.ready and held:
                 one = real.get(name)
                 after_s = max(held.at - one.started_at, one.ready_after_s) if one else 0.0
@@ -271,12 +328,17 @@
         return "\n".join(one.error_text() for one in self.real)
 
 
+def first_holding(held: Sequence[HeldRevision], revision: int) -> float | None:
+    """When a revision, or a newer one, was first had; None where it was not."""
+    return next((one.at for one in held if one.revision >= revision), None)
+
+
 @contextmanager
-def running(settings: TrialSettings) -> Iterator[Trial]:
+def running(settings: TrialSettings, kind: type[Trial] = Trial) -> Iterator[Trial]:
     """A trial whose processes are all ended when the block is left, however it is left."""
     plan = plan_fleet(settings.fleet, settings.seed)
     with ExitStack() as processes:
-        yield Trial(settings, plan, processes)
+        yield kind(settings, plan, processes)
 
 
 def list_size(nodes: Sequence[PlannedNode]) -> int:
--- /dev/null
+++ b/oatcart/scale/view_relay.py
@@ -0,0 +1,289 @@
+"""A counting relay on loopback between many conductors and the control role, which counts nothing itself.
+
+Every conductor is given a port of its own, behind which stands its address at the control role. Bytes pass as
+they come; beside that requests and answers are read, so that it is known which nodes a conductor was told of
+and when. A conductor *has* what an answer told once it asks on, or ends the connection, on the same one.
+
+The process (`python -m oatcart.scale.view_relay`) takes commands as in `children.py`; its processor time is
+nobody's role.
+"""
+
+import asyncio
+import socket
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from typing import NamedTuple
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+
+from oatcart.scale.children import Child, CommandReader, ignore_interrupts, own_usage
+from oatcart.scale.discovery import (
+    BACKLOG,
+    DELETED,
+    END_OF_HEAD,
+    LOOPBACK,
+    ClientAccount,
+    ClientFigures,
+    HeldRevision,
+)
+
+CONTENT_LENGTH = b"content-length:"
+
+
+class AnswerReader:
+    """Finds the bodies of HTTP answers in a stream of bytes; every answer tells its length."""
+
+    def __init__(self, take: Callable[[bytes], None]) -> None:
+        self._take = take
+        self._unread = bytearray()
+
+    def read(self, data: bytes) -> None:
+        """Takes the next bytes; hands each whole body on."""
+        self._unread += data
+        while (end := self._unread.find(END_OF_HEAD)) >= 0:
+            start = end + len(END_OF_HEAD)
+            length = content_length(bytes(self._unread[:end]))
+            if len(self._unread) < start + length:
+                return
+            self._take(bytes(self._unread[start : start + length]))
+            del self._unread[: start + length]
+
+
+def content_length(head: bytes) -> int:
+    """The length that the head of an answer tells; 0 where it tells none.
+
+    >>> content_length(b"HTTP/1.1 200 OK\\r\\nContent-Length: 12")
+    12
+    """
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(CONTENT_LENGTH):
+            return int(line[len(CONTENT_LENGTH) :])
+    return 0
+
+
+class RelayedClient:
+    """One conductor: its traffic, the nodes of its list, and when it had word of nodes that are tracked."""
+
+    def __init__(self, target_port: int) -> None:
+        self.target_port = target_port
+        self.account = ClientAccount("")
+        self.members: set[str] = set()
+        self.told: list[tuple[float, str]] = []
+
+    def take(self, body: bytes, tracked: set[str]) -> list[str]:
+        """Notes an answer; the tracked nodes that it tells of. A body that is no list tells of none."""
+        try:
+            answer = orjson.loads(body)
+            entries = {entry["id"]: entry["phase"] for entry in answer["members"]}
+        except (KeyError, TypeError, orjson.JSONDecodeError):
+            return []
+        gone = self.members - entries.keys() if answer["complete"] else set()
+        deleted = {node for node, phase in entries.items() if phase == DELETED}
+        self.members = (self.members | entries.keys()) - gone - deleted
+        return sorted(tracked & (entries.keys() | gone))
+
+
+class ConductorSide(asyncio.Protocol):
+    """A connection that a conductor has made."""
+
+    def __init__(self, service: "RelayService", client: RelayedClient) -> None:
+        self.service, self.client = service, client
+        self.control: ControlSide | None = None
+        self.unsent = bytearray()  # until the control role's connection is up
+        self.unread = b""
+        self.news: list[str] = []  # tracked nodes in answers since the last request
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.service.begin(self)
+
+    def data_received(self, data: bytes) -> None:
+        self._have_news()
+        self.client.account.bytes_received += len(data)
+        if self.control is None:
+            self.unsent += data
+        else:
+            self.control.transport.write(data)
+        self.unread += data
+        while END_OF_HEAD in self.unread:
+            head, _, self.unread = self.unread.partition(END_OF_HEAD)
+            self._request(head.split(b" ", 2)[1].decode())
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._have_news()
+        if self.control is not None:
+            self.control.transport.abort()
+
+    def up(self, control: "ControlSide") -> None:
+        """The connection to the control role is up."""
+        self.control = control
+        control.transport.write(bytes(self.unsent))
+
+    def _request(self, target: str) -> None:
+        account = self.client.account
+        account.messages_received += 1
+        since = parse_qs(urlsplit(target).query).get("since")
+        if since:
+            account.held.append(HeldRevision(time.monotonic(), int(since[0]), account.bytes_sent))
+
+    def _have_news(self) -> None:
+        now = time.monotonic()
+        self.client.told += [(now, node) for node in self.news]
+        self.news.clear()
+
+
+class ControlSide(asyncio.Protocol):
+    """The connection to the control role that belongs to a conductor's."""
+
+    def __init__(self, service: "RelayService", conductor: ConductorSide) -> None:
+        self.service, self.conductor = service, conductor
+        self.answers = AnswerReader(self._answer)
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.conductor.up(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.conductor.client.account.bytes_sent += len(data)
+        self.conductor.transport.write(data)
+        self.answers.read(data)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.conductor.transport.close()
+
+    def _answer(self, body: bytes) -> None:
+        self.conductor.client.account.messages_sent += 1
+        self.conductor.news += self.conductor.client.take(body, self.service.tracked)
+
+
+class RelayService:
+    """All conductors behind the relay; methods without an underscore but `begin` are commands."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.clients: dict[str, RelayedClient] = {}
+        self.tracked: set[str] = set()
+        self.tasks: set[asyncio.Task] = set()
+
+    def open(self, targets: dict[str, int]) -> dict:
+        """A port for each conductor; `targets` are the ports that stand behind them."""
+        return {"ports": {name: self._open(name, port) for name, port in targets.items()}}
+
+    def track(self, node: str) -> dict:
+        """From now on word of this node is noted; the conductors whose list has it now."""
+        self.tracked.add(node)
+        return {"holders": [name for name, one in self.clients.items() if node in one.members]}
+
+    def members(self, name: str) -> dict:
+        """The nodes that a conductor's list has now."""
+        return {"nodes": sorted(self.clients[name].members)}
+
+    def figures(self) -> dict:
+        """The process's usage, and of every conductor its bytes and messages."""
+        return {
+            "usage": own_usage(),
+            "clients": {
+                name: [
+                    one.account.bytes_received,
+                    one.account.bytes_sent,
+                    one.account.messages_received,
+                    one.account.messages_sent,
+                ]
+                for name, one in self.clients.items()
+            },
+        }
+
+    def held(self) -> dict:
+        """Of every conductor the revisions that it had, and when it had word of tracked nodes."""
+        return {
+            "held": {name: one.account.held for name, one in self.clients.items()},
+            "told": {name: one.told for name, one in self.clients.items()},
+        }
+
+    def begin(self, conductor: ConductorSide) -> None:
+        """Connects to the control role for a conductor; where that fails its connection is reset."""
+        self._keep(self._connect(conductor))
+
+    def _open(self, name: str, target_port: int) -> int:
+        client = self.clients.setdefault(name, RelayedClient(target_port))
+        listener = socket.create_server((LOOPBACK, 0), backlog=BACKLOG)
+        self._keep(self.loop.create_server(lambda: ConductorSide(self, client), sock=listener))
+        return listener.getsockname()[1]
+
+    async def _connect(self, conductor: ConductorSide) -> None:
+        try:
+            await self.loop.create_connection(
+                lambda: ControlSide(self, conductor), LOOPBACK, conductor.client.target_port
+            )
+        except OSError:
+            conductor.transport.abort()
+
+    def _keep(self, steps: Coroutine) -> None:
+        """Starts a task and keeps it, as the loop holds tasks weakly."""
+        self.tasks.add(self.loop.create_task(steps))
+
+
+class RelayHeld(NamedTuple):
+    """Of every conductor the revisions that it had, and when it had word of tracked nodes."""
+
+    held: dict[str, list[HeldRevision]]
+    told: dict[str, list[tuple[float, str]]]
+
+
+class ViewRelay(Child):
+    """The parent's side of the process."""
+
+    def __init__(self) -> None:
+        super().__init__("oatcart.scale.view_relay")
+
+    def open(self, targets: dict[str, int]) -> dict[str, int]:
+        """A port for each conductor in front of the control role's port for it."""
+        return self.ask("open", targets=targets)["ports"]
+
+    def track(self, node: str) -> list[str]:
+        """From now on word of this node is noted; the conductors whose list has it now."""
+        return self.ask("track", node=node)["holders"]
+
+    def members(self, name: str) -> list[str]:
+        """The nodes that a conductor's list has now."""
+        return self.ask("members", name=name)["nodes"]
+
+    def clients(self) -> dict[str, ClientFigures]:
+        """The traffic of each conductor."""
+        return {name: ClientFigures(*figures) for name, figures in self.ask("figures")["clients"].items()}
+
+    def held(self) -> RelayHeld:
+        """What conductors had when."""
+        answer = self.ask("held")
+        held = {name: [HeldRevision(*one) for one in some] for name, some in answer["held"].items()}
+        told = {name: [(at, node) for at, node in some] for name, some in answer["told"].items()}
+        return RelayHeld(held, told)
+
+
+async def serve() -> None:
+    """The life of the process: until its input ends."""
+    service = RelayService(asyncio.get_running_loop())
+    ended = asyncio.Event()
+    reader = CommandReader(
+        {
+            "open": service.open,
+            "track": service.track,
+            "members": service.members,
+            "figures": service.figures,
+            "held": service.held,
+        }
+    )
+
+    def read_commands() -> None:
+        if not reader.read():
+            ended.set()
+
+    asyncio.get_running_loop().add_reader(sys.stdin.fileno(), read_commands)
+    await ended.wait()
+
+
+if __name__ == "__main__":
+    ignore_interrupts()
+    asyncio.run(serve())
--- a/tests/scale/test_scale_discovery.py
+++ b/tests/scale/test_scale_discovery.py
@@ -8,14 +8,8 @@
 import pytest
 
 from oatcart.scale.children import ChildError
-from oatcart.scale.discovery import (
-    LOOPBACK,
-    Discovery,
-    HeldFigures,
-    HeldRevision,
-    NodeList,
-    change_delays,
-)
+from oatcart.scale.discovery import LOOPBACK, Discovery, HeldRevision, NodeList
+from oatcart.scale.trial import first_holding
 
 NODE = {"id": "node-1", "host_port": "10.0.0.1:8080", "locality": "a", "phase": "SERVING"}
 OTHER = NODE | {"id": "node-2"}
@@ -100,10 +94,10 @@
         answer = caller.answer()
         assert answer["revision"] == 2 and answer["members"] == [NODE | {"phase": "DRAINING"}]
         caller.send(f"/v1/servers?since=2&timeout_ms={LONG_WAIT_MS}")
-        while discovery.held().held["one"][-1].revision != 2:
+        while (at := first_holding(discovery.held()["one"], 2)) is None:
             time.sleep(0.01)
-        delays, missing = change_delays(discovery.held(), ["one"], began, time.monotonic())
-        assert missing == 0 and len(delays) == 1 and 0 < delays[0] < 5.0
+        assert 0 < at - began < 5.0
+        assert first_holding(discovery.held()["one"], 3) is None
 
 
 def test_a_watch_ends_empty_when_its_time_is_over(discovery: Discovery) -> None:
@@ -167,12 +161,7 @@
             discovery.figures()
 
 
-def test_a_change_that_a_client_never_had_is_counted_as_missing() -> None:
-    figures = HeldFigures(
-        {"all": [1.0, 2.0, 3.0]},
-        {"one": "all", "two": "all"},
-        {"one": [HeldRevision(2.5, 2, 0)], "two": [HeldRevision(1.1, 1, 0), HeldRevision(3.5, 3, 0)]},
-    )
-    delays, missing = change_delays(figures, ["one", "two"], 1.0, 4.0)
-    assert sorted(delays) == pytest.approx([0.1, 0.5, 0.5, 1.5, 1.5])
-    assert missing == 1
+def test_a_revision_is_had_with_the_first_that_is_as_new() -> None:
+    held = [HeldRevision(1.1, 1, 0), HeldRevision(2.5, 3, 0), HeldRevision(3.5, 4, 0)]
+    assert [first_holding(held, revision) for revision in (1, 2, 3, 4)] == [1.1, 2.5, 2.5, 3.5]
+    assert first_holding(held, 5) is None and first_holding([], 1) is None
--- a/tests/scale/test_scale_real.py
+++ b/tests/scale/test_scale_real.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 import tomllib
 from pathlib import Path
@@ -45,7 +46,7 @@
         discovery.change([ENTRY])
         ports = discovery.open(["one", "two"])
         with real_conductors(SETTINGS, list(ports.values()), [1, 2]) as conductors:
-            wait_until(lambda: all(discovery.held().held.values()), "no watch")
+            wait_until(lambda: all(discovery.held().values()), "no watch")
             assert all(one.ready_after_s > 0 for one in conductors)
             assert all(one.core_seconds() > 0 and one.resident_megabytes() > 5 for one in conductors)
             pids = [one.pid for one in conductors]
@@ -112,6 +113,16 @@
         assert child.ask("figures")["clients"] == {}
 
 
+def test_processor_time_is_that_of_all_threads_running_or_ended() -> None:
+    began = core_seconds(os.getpid())
+    threads = [threading.Thread(target=sum, args=(range(6_000_000),)) for _ in range(2)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert core_seconds(os.getpid()) - began > 0.1
+
+
 def test_figures_of_this_process_can_be_read() -> None:
     began = core_seconds(os.getpid())
     sum(range(2_000_000))
--- /dev/null
+++ b/tests/scale/test_scale_views.py
@@ -0,0 +1,136 @@
+"""Conductors behind the control role: what the relay counts, whom a change concerns, what is measured."""
+
+from contextlib import ExitStack
+from dataclasses import replace
+
+import orjson
+import pytest
+
+from oatcart.scale.children import ChildError
+from oatcart.scale.configuration import FleetSettings, ViewSettings
+from oatcart.scale.figures import play
+from oatcart.scale.fleet import plan_fleet
+from oatcart.scale.real import NotReady
+from oatcart.scale.trial import MadeChange, TrialSettings, running
+from oatcart.scale.view_relay import AnswerReader, RelayedClient
+from oatcart.scale.view_trial import ViewTrial, first_word, free_ports
+
+NODES = 120
+SMALL = TrialSettings(
+    replace(FleetSettings().scaled_to(NODES), conductors=4),
+    seed=1,
+    hollow=3,
+    real=1,
+    settle_s=0.1,
+    quiet_s=0.3,
+    changes=6,
+    view=ViewSettings(nodes=30),
+)
+
+
+def test_conductors_behind_the_control_role_are_measured_and_know_a_part_only() -> None:
+    with running(SMALL, ViewTrial) as trial:
+        trial.start()
+        assert all(0 < len(trial.relay.members(name)) <= SMALL.view.nodes for name in trial.names)
+        assert all(one.known_nodes <= SMALL.view.nodes for one in trial.hollows.figures().conductors)
+        trial.join_peers()
+        pids = [one.process for one in trial.running_processes()]
+    assert all(process.returncode is not None for process in pids)
+
+
+def test_every_role_behind_the_control_role_is_measured() -> None:
+    found = {one.role: one for one in play(SMALL, "nodes", NODES, ViewTrial)}
+    assert set(found) == {"discovery", "conductor", "hollow_conductor", "control"}
+    assert all(one.left_out is None and one.core_share >= 0 for one in found.values())
+    assert found["conductor"].core_share > 0 and found["hollow_conductor"].core_share > 0
+    assert found["control"].ready_core_s > 0
+    assert found["control"].ready_bytes > 2 * found["conductor"].ready_bytes > 0
+    assert found["control"].resident_mb > 5 and found["control"].ready_s > 0
+
+
+def test_changes_of_nodes_are_had_by_the_conductors_whose_views_hold_them() -> None:
+    with running(SMALL, ViewTrial) as trial:
+        trial.start()
+        name = trial.hollow_names[0]
+        held = trial.relay.members(name)[0]
+        entry = next(one for one in trial.plan.nodes if one.id == held)
+        trial.make_change(
+            {"id": entry.id, "host_port": entry.address, "locality": entry.zone, "phase": "DRAINING"}
+        )
+        assert name in trial.holders[0] and len(trial.holders[0]) <= len(trial.names)
+        delays = trial.wait_for_changes()
+        assert len(delays[name]) == 1 and 0 < delays[name][0] < 5.0
+        assert sum(map(len, delays.values())) == len(trial.holders[0])
+
+
+def test_a_control_role_that_died_is_an_error_and_all_else_is_ended() -> None:
+    with pytest.raises((NotReady, ChildError, OSError)), running(SMALL, ViewTrial) as trial:
+        trial.start()
+        processes = [one.process for one in trial.running_processes()]
+        trial.control.process.kill()
+        trial.control.process.wait()
+        trial.read()
+    assert all(process.returncode is not None for process in processes)
+
+
+def test_the_control_role_is_told_where_each_conductor_runs_and_what_it_needs() -> None:
+    with ExitStack() as processes:
+        trial = ViewTrial(SMALL, plan_fleet(SMALL.fleet, SMALL.seed), processes)
+        told = trial.control_configuration(1, 2, {"hollow-0": 3, "real-0": 4})
+    hollow, real = told["conductors"]
+    assert hollow["services"] and hollow["zone"] in trial.plan.zone_regions
+    assert hollow | {"name": "", "address": ""} == real | {"name": "", "address": ""}
+    assert told["views"]["most_members"] == SMALL.view.nodes
+
+
+def test_free_ports_are_distinct() -> None:
+    ports = free_ports(50)
+    assert len(set(ports)) == 50 and all(1024 <= port < 65536 for port in ports)
+
+
+@pytest.mark.parametrize("piece", [1, 7, 1000])
+def test_bodies_are_found_however_the_bytes_come(piece: int) -> None:
+    bodies: list[bytes] = []
+    reader = AnswerReader(bodies.append)
+    data = (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+        b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n"
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyou"
+    )
+    for at in range(0, len(data), piece):
+        reader.read(data[at : at + piece])
+    assert bodies == [b"hello", b"", b"you"]
+
+
+def list_body(complete: bool, **phases: str) -> bytes:
+    members = [{"id": node, "phase": phase} for node, phase in phases.items()]
+    return orjson.dumps({"revision": 1, "complete": complete, "members": members})
+
+
+def test_members_follow_whole_lists_and_changes() -> None:
+    client = RelayedClient(0)
+    client.take(list_body(True, x="SERVING", y="SERVING"), set())
+    client.take(list_body(False, y="DELETED", z="DRAINING"), set())
+    assert client.members == {"x", "z"}
+    client.take(list_body(True, w="SERVING"), set())
+    assert client.members == {"w"}
+
+
+def test_word_of_tracked_nodes_is_noted_also_when_a_whole_list_lacks_them() -> None:
+    client = RelayedClient(0)
+    assert client.take(list_body(True, x="SERVING", y="SERVING"), {"x"}) == ["x"]
+    assert client.take(list_body(False, y="DRAINING"), {"x"}) == []
+    assert client.take(list_body(True, y="SERVING"), {"x"}) == ["x"]
+
+
+@pytest.mark.parametrize("body", [b"", b"no json", b"[]", b"{}", b'{"members":[{}],"complete":true}'])
+def test_a_body_that_is_no_list_tells_of_nothing(body: bytes) -> None:
+    client = RelayedClient(0)
+    client.members = {"x"}
+    assert client.take(body, {"x"}) == [] and client.members == {"x"}
+
+
+def test_the_first_word_after_a_change_counts() -> None:
+    told = [(1.0, "x"), (2.0, "y"), (3.0, "x")]
+    assert first_word(told, MadeChange(1.5, "all", 2, "x")) == 3.0
+    assert first_word(told, MadeChange(3.5, "all", 2, "x")) is None
