Views of a service are matched in blocks and completed only where they fall short

Need: all views of the operators' plan in a few seconds, one change in milliseconds. Change: the greedy matching takes at once the pairs that cannot run out of seats or places; a conductor with another number of seats chooses anew without giving all up; ready nodes and zones are counted, not searched.

--- a/oatcart/views/cover.py
+++ b/oatcart/views/cover.py
@@ -9,6 +9,9 @@
 from oatcart.views.quotas import LEAST_PLACES, Quota
 from oatcart.views.records import Member
 
+Zone = tuple[str, str]
+"""A region and a zone in it."""
+
 
 class Exchange(NamedTuple):
     """A conductor holds the node `taken` in place of the node `given`."""
@@ -24,13 +27,13 @@
     zones: int
 
 
-def needs_of(ready_members: dict[str, Member]) -> Needs:
-    """What the ready nodes of a service allow."""
-    zones = {zone_of(member) for member in ready_members.values()}
-    return Needs(min(LEAST_PLACES, len(ready_members)), min(LEAST_PLACES, len(zones)))
+def needs_of(ready_by_zone: dict[Zone, int]) -> Needs:
+    """What a service allows that has so many ready nodes in each of its zones."""
+    counts = [count for count in ready_by_zone.values() if count]
+    return Needs(min(LEAST_PLACES, sum(counts)), min(LEAST_PLACES, len(counts)))
 
 
-def zone_of(member: Member) -> tuple[str, str]:
+def zone_of(member: Member) -> Zone:
     """A zone's name is its own only within its region."""
     return member.region, member.zone
 
--- a/oatcart/views/greedy.py
+++ b/oatcart/views/greedy.py
@@ -15,8 +15,7 @@
 _FIRST_DEPTH = 1.4  # candidates looked at, in seats, before more are drawn
 _LEAST_CANDIDATES = 24
 _DEEPER = 2.0
-_NO_ZONE_YET = -1
-_SEVERAL_ZONES = -2
+_LEAST_BLOCK = 256  # pairs
 
 
 class Service(NamedTuple):
@@ -34,16 +33,16 @@
     """Who holds whom: True at [conductor, node] for each pair taken."""
     depth = _FIRST_DEPTH * service.seats.max(initial=0) + _LEAST_CANDIDATES
     while True:
-        limit = depth / service.sizes.sum()
-        viewers, members, keys = _candidates(service, limit)
-        held, seats_left = _take(service, viewers, members, keys)
-        if not seats_left.any() or len(keys) == held.size:
-            return held
+        viewers, members = _candidates(service, depth / service.sizes.sum())
+        greedy = _Greedy(service)
+        greedy.take(viewers, members)
+        if not greedy.seats_left.any() or len(viewers) == greedy.held.size:
+            return greedy.held
         depth *= _DEEPER
 
 
-def _candidates(service: Service, limit: float) -> tuple[numpy.ndarray, numpy.ndarray, numpy.ndarray]:
-    """All pairs with a key below the limit, from the smallest key up."""
+def _candidates(service: Service, limit: float) -> tuple[numpy.ndarray, numpy.ndarray]:
+    """The conductors and the nodes of all pairs with a key below the limit, from the smallest key up."""
     viewer_parts, key_parts, member_parts = [], [], []
     for viewer, viewer_hash in enumerate(service.viewer_hashes):
         keys = pair_keys(viewer_hash, service.member_hashes, service.sizes)
@@ -51,37 +50,51 @@
         viewer_parts.append(numpy.full(len(near), viewer))
         member_parts.append(near)
         key_parts.append(keys[near])
-    keys = numpy.concatenate(key_parts)
-    order = numpy.argsort(keys, kind="stable")
-    return numpy.concatenate(viewer_parts)[order], numpy.concatenate(member_parts)[order], keys[order]
-
-
-def _take(
-    service: Service, viewers: numpy.ndarray, members: numpy.ndarray, keys: numpy.ndarray
-) -> tuple[numpy.ndarray, numpy.ndarray]:
-    """Goes through the pairs in order; who holds whom, and the seats left over."""
-    del keys
-    seats_left = service.seats.tolist()
-    places_left = service.places.tolist()
-    zone_of = service.zones.tolist()
-    several_zones = len(set(zone_of)) > 1
-    only_zone = [_NO_ZONE_YET if several_zones else _SEVERAL_ZONES] * len(seats_left)
-    taken = []
-    for index, (viewer, member) in enumerate(zip(viewers.tolist(), members.tolist(), strict=True)):
-        seats = seats_left[viewer]
-        if not seats or not places_left[member]:
-            continue
-        zone = zone_of[member]
-        if only_zone[viewer] != _SEVERAL_ZONES:
-            if only_zone[viewer] == _NO_ZONE_YET:
-                only_zone[viewer] = zone
-            elif only_zone[viewer] != zone:
-                only_zone[viewer] = _SEVERAL_ZONES
-            elif seats == 1:
-                continue
-        seats_left[viewer] = seats - 1
-        places_left[member] -= 1
-        taken.append(index)
-    held = numpy.zeros((len(seats_left), len(zone_of)), dtype=bool)
-    held[viewers[taken], members[taken]] = True
-    return held, numpy.array(seats_left)
+    order = numpy.argsort(numpy.concatenate(key_parts))
+    return numpy.concatenate(viewer_parts)[order], numpy.concatenate(member_parts)[order]
+
+
+class _Greedy:
+    """Takes pairs in order, block by block.
+
+    Within a block, a conductor or node that has more left than pairs in the block cannot run out. Pairs whose
+    two ends both cannot are taken at once, the few others one by one.
+    """
+
+    def __init__(self, service: Service) -> None:
+        self.seats_left = service.seats.copy()
+        self.places_left = service.places.copy()
+        self.zones = service.zones
+        self.several_zones = bool((self.zones != self.zones[:1]).any())
+        self.held = numpy.zeros((len(self.seats_left), len(self.places_left)), dtype=bool)
+
+    def take(self, viewers: numpy.ndarray, members: numpy.ndarray) -> None:
+        """Go through the pairs of these conductors and nodes."""
+        block = max(_LEAST_BLOCK, len(self.seats_left))
+        for start in range(0, len(viewers), block):
+            self._take_block(viewers[start : start + block], members[start : start + block])
+
+    def _take_block(self, viewers: numpy.ndarray, members: numpy.ndarray) -> None:
+        is_open = (self.seats_left[viewers] > 0) & (self.places_left[members] > 0)
+        viewers, members = viewers[is_open], members[is_open]
+        viewer_is_safe = numpy.bincount(viewers, minlength=len(self.seats_left)) < self.seats_left
+        member_is_safe = numpy.bincount(members, minlength=len(self.places_left)) < self.places_left
+        is_safe = viewer_is_safe[viewers] & member_is_safe[members]
+        for viewer, member in zip(viewers[~is_safe].tolist(), members[~is_safe].tolist(), strict=True):
+            self._take_one(viewer, member)
+        self.held[viewers[is_safe], members[is_safe]] = True
+        self.seats_left -= numpy.bincount(viewers[is_safe], minlength=len(self.seats_left))
+        self.places_left -= numpy.bincount(members[is_safe], minlength=len(self.places_left))
+
+    def _take_one(self, viewer: int, member: int) -> None:
+        seats, places = self.seats_left[viewer], self.places_left[member]
+        if not seats or not places or (seats == 1 and self._is_one_zone_more(viewer, member)):
+            return
+        self.held[viewer, member] = True
+        self.seats_left[viewer] = seats - 1
+        self.places_left[member] = places - 1
+
+    def _is_one_zone_more(self, viewer: int, member: int) -> bool:
+        """Whether a conductor that may have nodes in two zones has, with this one, all in one zone."""
+        zones = self.zones[self.held[viewer]]
+        return self.several_zones and len(zones) > 0 and bool((zones == self.zones[member]).all())
--- a/oatcart/views/matching.py
+++ b/oatcart/views/matching.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Iterator
+from typing import NamedTuple
 
 import numpy
 
@@ -20,6 +21,14 @@
 _NO_ZONE = -1
 
 
+class Spread(NamedTuple):
+    """The nodes that a conductor holds, the ready ones of them, and the zones of those (2: two or more)."""
+
+    held: int
+    ready: int
+    zones: int
+
+
 class Matching:
     """Conductors with seats, nodes with places, and the pairs of them that hold.
 
@@ -46,6 +55,7 @@
         self._sizes = numpy.ones(0)
         self._zones = numpy.zeros(0, dtype=numpy.int64)  # _NO_ZONE: the number is free
         self._roundings = numpy.zeros(0)
+        self._ready = numpy.zeros(0, dtype=bool)  # no matter to the matching
         self._places = numpy.zeros(0, dtype=numpy.int64)
         self._loads = numpy.zeros(0, dtype=numpy.int64)  # holders
         self._admits = numpy.zeros(0)  # a node lets in a conductor with a smaller key than this
@@ -57,12 +67,22 @@
     def held_by(self, name: str) -> list[str]:
         """The nodes that a conductor holds."""
         nodes = numpy.flatnonzero(self._held[self.viewers.number_of[name]])
-        return [self.members.names[node] for node in nodes.tolist()]
+        return list(map(self.members.names.__getitem__, nodes.tolist()))
+
+    def spread_of(self, name: str) -> Spread:
+        """How many nodes a conductor holds, how many of them are ready, and in how many zones."""
+        viewer = self.viewers.number_of[name]
+        ready = numpy.flatnonzero(self._held[viewer] & self._ready)
+        zones = self._zones[ready]
+        several_zones = bool((zones != zones[:1]).any())
+        return Spread(
+            int(numpy.count_nonzero(self._held[viewer])), len(ready), min(len(ready), 1 + several_zones)
+        )
 
     def holders_of(self, member_id: str) -> list[str]:
         """The conductors that hold a node."""
         viewers = numpy.flatnonzero(self._held[:, self.members.number_of[member_id]])
-        return [self.viewers.names[viewer] for viewer in viewers.tolist()]
+        return list(map(self.viewers.names.__getitem__, viewers.tolist()))
 
     def members_without_holder(self) -> list[str]:
         """The nodes that no conductor holds."""
@@ -108,9 +128,8 @@
         self.touched.discard(name)
 
     def resize_viewer(self, name: str, seats: int) -> None:
-        """A conductor has another number of seats: it chooses anew, before anyone else does."""
+        """A conductor has another number of seats, and chooses anew."""
         viewer = self.viewers.number_of[name]
-        self._release_all(viewer)
         self._seats[viewer] = seats
         self._seek(viewer)
 
@@ -123,9 +142,14 @@
         self._sizes[node] = member.size
         self._zones[node] = zone
         self._roundings[node] = unit_hash("rounding", member.id, self._seed)
+        self._ready[node] = member.ready
         self._admits[node] = numpy.inf
         self._freed.add(node)
 
+    def turn_member(self, member_id: str, ready: bool) -> None:
+        """A node is ready, or drains; the matching stays as it is."""
+        self._ready[self.members.number_of[member_id]] = ready
+
     def remove_member(self, member_id: str) -> None:
         """A node goes, and its holders have a seat left."""
         node = self.members.release(member_id)
@@ -344,6 +368,7 @@
         self._sizes = _grown(self._sizes, nodes, 1.0)
         self._zones = _grown(self._zones, nodes, _NO_ZONE)
         self._roundings = _grown(self._roundings, nodes, 0.0)
+        self._ready = _grown(self._ready, nodes, False)
         self._places = _grown(self._places, nodes, 0)
         self._loads = _grown(self._loads, nodes, 0)
         self._admits = _grown(self._admits, nodes, -numpy.inf)
--- a/oatcart/views/pool.py
+++ b/oatcart/views/pool.py
@@ -4,9 +4,10 @@
 matching.
 """
 
+from collections import Counter
 from typing import NamedTuple
 
-from oatcart.views.cover import Exchange, Needs, complete_part, exchanges_for_unseen, needs_of
+from oatcart.views.cover import Exchange, Needs, Zone, complete_part, exchanges_for_unseen, needs_of, zone_of
 from oatcart.views.matching import Matching
 from oatcart.views.quotas import Quota
 from oatcart.views.records import Member
@@ -32,6 +33,7 @@
         self.members: dict[str, Member] = {}
         self.quotas: dict[str, Quota] = {}
         self._ready_members: dict[str, Member] = {}
+        self._ready_by_zone: Counter[Zone] = Counter()
         self._matching = Matching(overload, seed)
         self._whole: set[str] = set()
         self._exchanges: dict[str, list[Exchange]] = {}
@@ -48,16 +50,16 @@
         """A node comes, or its record changes."""
         self._members_before.setdefault(member.id, self.members.get(member.id))
         self.members[member.id] = member
+        self._forget_ready(member.id)
         if member.ready:
             self._ready_members[member.id] = member
-        else:
-            self._ready_members.pop(member.id, None)
+            self._ready_by_zone[zone_of(member)] += 1
 
     def drop_member(self, member_id: str) -> None:
         """A node is deleted."""
         self._members_before.setdefault(member_id, self.members.get(member_id))
         del self.members[member_id]
-        self._ready_members.pop(member_id, None)
+        self._forget_ready(member_id)
 
     def set_quota(self, name: str, quota: Quota) -> None:
         """A conductor needs the service, or gets another number of places for it."""
@@ -110,6 +112,11 @@
         self._viewers_changed.clear()
         return Affected(moved, restated)
 
+    def _forget_ready(self, member_id: str) -> None:
+        member = self._ready_members.pop(member_id, None)
+        if member is not None:
+            self._ready_by_zone[zone_of(member)] -= 1
+
     def _most_mended(self) -> int:
         return _CHANGES_MENDED + (len(self.members) + len(self.quotas)) // _RECORDS_PER_CHANGE
 
@@ -126,6 +133,7 @@
             if before is not None and member is not None:
                 restated.append(member_id)
                 if _draws_alike(before, member):
+                    self._matching.turn_member(member_id, member.ready)
                     continue
             if before is not None:
                 self._matching.remove_member(member_id)
@@ -165,7 +173,7 @@
         self._exchanges = exchanges
         holders = set().union(*(self.holders_of(member_id) for member_id in restated_members))
         concerned = moved | holders | self._amended.keys()
-        needs = needs_of(self._ready_members)
+        needs = needs_of(self._ready_by_zone)
         if needs != self._needs:
             concerned |= self._matching.viewers.number_of.keys()
         self._needs = needs
@@ -180,6 +188,8 @@
         if name not in self._matching.viewers.number_of:
             return before is not None
         exchanges = self._exchanges.get(name, [])
+        if not exchanges and self._suffices(name):
+            return before is not None
         held = complete_part(
             self._matching, name, self.quotas[name], exchanges, self.members, self._ready_members, self._needs
         )
@@ -187,6 +197,15 @@
             self._amended[name] = held
         return before != self._amended.get(name)
 
+    def _suffices(self, name: str) -> bool:
+        """Whether the matching alone gives a conductor all that it needs."""
+        spread = self._matching.spread_of(name)
+        return (
+            spread.held == self.quotas[name].seats
+            and spread.ready >= self._needs.nodes
+            and spread.zones >= self._needs.zones
+        )
+
 
 def _draws_alike(one: Member, other: Member) -> bool:
     """Whether two records of a node leave every conductor's choice as it is."""
