--- a/oatcart/scale/configuration.py
+++ b/oatcart/scale/configuration.py
@@ -58,14 +58,30 @@
     services_per_conductor: int = 6
     proxies_per_conductor: int = 8
 
+    def with_nodes(self, nodes: int) -> "FleetSettings":
+        """This fleet with so many nodes; all else stays, but for what so few nodes do not allow.
+
+        Raises ValueError for fewer than two nodes.
+        """
+        _check_nodes(nodes)
+        services = min(self.services, nodes // NODES_PER_SERVICE_LEAST)
+        zones = min(self.zones, nodes)
+        return replace(
+            self,
+            nodes=nodes,
+            services=services,
+            regions=min(self.regions, zones),
+            zones=zones,
+            services_per_conductor=min(self.services_per_conductor, services),
+        )
+
     def scaled_to(self, nodes: int) -> "FleetSettings":
         """A fleet of the same shape with so many nodes: all counts shrink or grow by the same ratio.
 
         Counts are rounded and kept possible: every service has two nodes and every zone one, and there are no
         fewer zones than regions. Raises ValueError for fewer than two nodes.
         """
-        if nodes < NODES_PER_SERVICE_LEAST:
-            raise ValueError(f"{nodes} nodes are fewer than the {NODES_PER_SERVICE_LEAST} of one service")
+        _check_nodes(nodes)
         ratio = nodes / self.nodes
         services = _scaled(self.services, ratio, nodes // NODES_PER_SERVICE_LEAST)
         zones = _scaled(self.zones, math.sqrt(ratio), min(nodes, self.zones))
@@ -142,7 +158,7 @@
 
 FULL_SIZES: dict[str, tuple[int, ...]] = {
     "conductors": (8, 16, 32, 64, 128, 5_800),
-    "nodes": (300, 600, 1_200, 2_400, 4_800, 9_000, 18_000, 27_000),
+    "nodes": (1_000, 1_500, 2_200, 3_400, 5_000, 9_000, 18_000, 27_000),
     "services": (45, 90, 180, 360, 720),
     "routes": (2_300, 4_600, 9_250, 18_500, 37_000),
     "tenants": (17_500, 35_000, 70_000, 140_000, 280_000),
@@ -150,7 +166,7 @@
     "changes": (22_000, 44_000, 88_000, 176_000, 352_000),
 }
 QUICK_SIZES: dict[str, tuple[int, ...]] = {
-    "nodes": (250, 500, 1_000, 2_000, 4_000),
+    "nodes": (1_000, 2_000, 3_000, 4_000, 5_000),
     "conductors": (1, 2, 3, 4, 6),
 }
 
@@ -170,7 +186,7 @@
 
 def quick_defaults() -> RunSettings:
     """The run that a developer's machine ends within a minute."""
-    return RunSettings(settle_for=0.5, measure_for=2.0, repeats=5, sizes=dict(QUICK_SIZES))
+    return RunSettings(settle_for=0.5, measure_for=2.0, repeats=20, sizes=dict(QUICK_SIZES))
 
 
 @dataclass(frozen=True)
@@ -431,6 +447,11 @@
         return told.lc.key(key)[0] if isinstance(told, CommentedMap) and key in told else None
 
 
+def _check_nodes(nodes: int) -> None:
+    if nodes < NODES_PER_SERVICE_LEAST:
+        raise ValueError(f"{nodes} nodes are fewer than the {NODES_PER_SERVICE_LEAST} of one service")
+
+
 def _line_of(error: str) -> int:
     """The line that an error names; 0 where it names none."""
     found = re.search(r":(\d+): ", error)
--- a/tests/scale/test_scale_fleet.py
+++ b/tests/scale/test_scale_fleet.py
@@ -1,6 +1,7 @@
 """The drawn fleet: its counts, its shape, and that one seed gives one fleet."""
 
 from collections import Counter
+from dataclasses import replace
 from statistics import median
 
 import numpy
@@ -103,9 +104,22 @@
     assert share_planned < share < 2 * share_planned  # fewer ranks share the same skew
 
 
-def test_a_fleet_cannot_shrink_below_one_service():
+def test_a_fleet_with_fewer_nodes_keeps_all_else():
+    fewer = FleetSettings().with_nodes(2_000)
+    assert fewer == replace(FleetSettings(), nodes=2_000)
+    assert len(plan_fleet(replace(fewer, conductors=1), SEED).nodes_by_zone()) == 53
+
+
+def test_a_fleet_with_very_few_nodes_gives_up_what_they_do_not_allow():
+    fewest = FleetSettings().with_nodes(4)
+    assert (fewest.services, fewest.zones, fewest.regions, fewest.services_per_conductor) == (2, 4, 4, 2)
+    assert len(plan_fleet(replace(fewest, conductors=1), SEED).nodes) == 4
+
+
+@pytest.mark.parametrize("shrink", [FleetSettings.scaled_to, FleetSettings.with_nodes])
+def test_a_fleet_cannot_shrink_below_one_service(shrink):
     with pytest.raises(ValueError, match="1 nodes are fewer than the 2 of one service"):
-        FleetSettings().scaled_to(1)
+        shrink(FleetSettings(), 1)
 
 
 @given(nodes=st.integers(2, 300), seed=st.integers(0, 100))
