A scale run that fails says so and ends with 1; a place for JSON is checked before it

Need: a run of twenty minutes must not end in a traceback, nor find out last that it cannot keep its result.

--- a/oatcart/scale/__main__.py
+++ b/oatcart/scale/__main__.py
@@ -13,6 +13,9 @@
 from oatcart.scale.slopes import QuantitySlope, analyse
 from oatcart.scale.troubles import DayPlan, TroublesError, plan_day
 
+FAILED = 1
+"""Exit code where a run has failed; nothing is kept of it."""
+
 UNUSABLE = 2
 """Exit code where a file or an argument cannot be used."""
 
@@ -39,9 +42,17 @@
     if absent:
         print(_absent_text(absent, chosen, parsed), file=sys.stderr)
         return UNUSABLE
-    from oatcart.scale.runs import measure  # started roles are needed by this command alone
+    if parsed.json and not Path(parsed.json).parent.is_dir():
+        print(f"{parsed.json}: there is no such folder", file=sys.stderr)
+        return UNUSABLE
+    from oatcart.scale.children import ChildError  # started roles are needed by this command alone
+    from oatcart.scale.runs import measure
 
-    measurements = measure(settings, parsed.quick, dimensions, report_progress)
+    try:
+        measurements = measure(settings, parsed.quick, dimensions, report_progress)
+    except ChildError as error:
+        print(f"the run has failed: {error}", file=sys.stderr)
+        return FAILED
     slopes = analyse(measurements)
     print(text_report(measurements, slopes, settings.budgets))
     _keep(parsed, settings, measurements, slopes)
--- a/tests/scale/test_scale_report.py
+++ b/tests/scale/test_scale_report.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from oatcart.scale import __main__ as command
+from oatcart.scale.children import ChildError
 from oatcart.scale.configuration import Budgets
 from oatcart.scale.measurement import (
     DIMENSIONS,
@@ -201,6 +202,26 @@
     assert from_json(json.dumps(json.loads(path.read_text())["measurements"])) == measured()
 
 
+def test_a_run_that_fails_ends_with_1(monkeypatch, capsys):
+    class Runs:
+        """Stands in for oatcart.scale.runs."""
+
+        @staticmethod
+        def measure(settings, quick, dimensions, progress):
+            raise ChildError("discovery has ended")
+
+    monkeypatch.setitem(sys.modules, "oatcart.scale.runs", Runs)
+    assert command.main(["run", str(ROOT / "deploy" / "scale.yaml"), "--quick"]) == 1
+    printed = capsys.readouterr()
+    assert (printed.out, printed.err) == ("", "the run has failed: discovery has ended\n")
+
+
+def test_a_place_for_json_that_is_not_there_is_told_before_the_run(tmp_path, capsys):
+    path = tmp_path / "absent" / "out.json"
+    assert command.main(["run", str(ROOT / "deploy" / "scale.yaml"), "--json", str(path)]) == 2
+    assert capsys.readouterr().err == f"{path}: there is no such folder\n"
+
+
 def test_an_unusable_file_ends_with_2_and_all_errors(tmp_path, capsys):
     (tmp_path / "s.yaml").write_text("seed: x\nfleet:\n  zones: 3\n")
     assert command.main(["run", str(tmp_path / "s.yaml")]) == 2
