--- a/tests/live/process.py
+++ b/tests/live/process.py
@@ -57,14 +57,14 @@
         }
         self._file().write_text(json.dumps(table | ({} if self.known is None else {"known": self.known})))
 
-    def start(self) -> Self:
-        """Start the process; it is ready once `ready` returns."""
+    def start(self, log: int = subprocess.PIPE) -> Self:
+        """Start the process with its log on a pipe of ours; it is ready once `ready` returns."""
         self.port = self.port or free_port()
         self.write()
         self.process = subprocess.Popen(
             [sys.executable, "-m", "oatcart"],
             cwd=ROOT,
-            stderr=subprocess.PIPE,
+            stderr=log,
             text=True,
             env=os.environ | {"EDGE_CONFIG": str(self._file())},
         )
@@ -76,6 +76,11 @@
         assert line.startswith(f"start: {self.name} listens at {LOOPBACK}:{self.port}"), line
         return self
 
+    def listens(self) -> bool:
+        """Whether it takes connections; for a log that cannot be read."""
+        with socket.socket() as sock:
+            return sock.connect_ex((LOOPBACK, self.port)) == 0
+
     def send(self, number: int) -> None:
         self.process.send_signal(number)
 
@@ -83,7 +88,8 @@
         """End the process; its exit code."""
         self.process.send_signal(number)
         code = self.process.wait(PATIENCE)
-        self.process.stderr.close()
+        if self.process.stderr is not None:
+            self.process.stderr.close()
         return code
 
     def __enter__(self) -> Self:
