A watch answered at once with the list it had is asked again after a wait

Seen: a discovery that answers watches at once with the whole list of the same revision was asked 849 times a second, 0.39 of a core. Change: the guard stands before the list is taken; the first answer of a watch, which waits for nothing, is always taken. Test: sockets/whole_lists_at_once, seen to fail without the change.

--- a/oatcart/net/roll.py
+++ b/oatcart/net/roll.py
@@ -87,10 +87,10 @@
                 self.anew = roll.revision < since < inf and not roll.whole
                 if self.anew:
                     raise Ended(Ending.UNREADABLE, f"changes up to {roll.revision} since {since}")
+                if roll.revision == since and self.loop.now - asked < EARLY * wait:
+                    raise Ended(Ending.UNREADABLE, "nothing, before its time")
                 if not wait or roll.whole or roll.entries:  # a wait that brought nothing is no news
                     self.take(roll, since)
-                elif roll.revision == since and self.loop.now - asked < EARLY * wait:
-                    raise Ended(Ending.UNREADABLE, "nothing, before its time")
                 self.revision = max(self.revision, roll.revision)  # also where nobody has changed
                 wait = self.wait
         except Ended as ended:
