scale: trials of one size share their span; changes behind the control role are of viewed nodes

Change: play_beside measures several trials in one span and leaves out only those that fail; quick runs make changes at 40 a second and leave the module alone to full runs; ViewTrial changes nodes that some view holds.

--- a/oatcart/scale/figures.py
+++ b/oatcart/scale/figures.py
@@ -2,8 +2,10 @@
 
 import time
 from collections.abc import Iterable, Mapping, Sequence
+from contextlib import ExitStack
 from dataclasses import replace
 from statistics import fmean
+from types import MappingProxyType
 from typing import NamedTuple
 
 from hdrh.histogram import HdrHistogram
@@ -11,6 +13,7 @@
 from oatcart.scale.conductor_settings import NodeChanges
 from oatcart.scale.discovery import ClientFigures
 from oatcart.scale.measurement import Measurement
+from oatcart.scale.real import NotReady
 from oatcart.scale.trial import DoesNotFit, Reading, Ready, Trial, TrialSettings, running
 
 HOLLOW_ROLE, REAL_ROLE = "hollow_conductor", "conductor"
@@ -29,11 +32,14 @@
 
 
 class Observed(NamedTuple):
-    """What a trial has shown: readings before and after the measured span, and how late changes came."""
+    """What a trial has shown: readings before and after the measured span, and how late changes came.
+
+    `delays` has, by conductor, the seconds from each change until it had it.
+    """
 
     before: Reading
     after: Reading
-    delays: dict[str, list[float]]  # by conductor, seconds from each change until it had it
+    delays: Mapping[str, list[float]] = MappingProxyType({})
 
     @property
     def span_s(self) -> float:
@@ -41,6 +47,18 @@
         return self.after.at - self.before.at
 
 
+class Specification(NamedTuple):
+    """A trial that is played beside others; `role_names` renames its roles."""
+
+    settings: TrialSettings
+    kind: type[Trial] = Trial
+    role_names: Mapping[str, str] = MappingProxyType({})
+
+    def named(self, measurement: Measurement) -> Measurement:
+        """The measurement with the name that its role has in this trial."""
+        return replace(measurement, role=self.role_names.get(measurement.role, measurement.role))
+
+
 class Traffic(NamedTuple):
     """Bytes and messages a second, the mean over some conductors, as they see them."""
 
@@ -58,26 +76,76 @@
         trial.start()
         trial.join_peers()
         time.sleep(settings.settle_s)
-        return measured(trial, observe(trial), dimension, size)
-
-
-def observe(trial: Trial) -> Observed:
-    """A quiet span, then a span of changes; or one span in which changes are made."""
-    settings = trial.settings
-    changes = NodeChanges(trial.plan.nodes, settings.seed)
-    before = trial.read()
+        (observed,) = observe([trial], settings)
+        return measured(trial, observed, dimension, size)
+
+
+def play_beside(specifications: Sequence[Specification], dimension: str, size: float) -> list[Measurement]:
+    """The measurements of several trials in the same span of time; all last as long as the first is to.
+
+    A trial that does not fit is left out and said so. Raises ChildError.
+    """
+    found: list[Measurement] = []
+    made: list[tuple[Specification, Trial]] = []
+    started: list[tuple[Specification, Trial]] = []
+    with ExitStack() as processes:
+        for one in specifications:
+            try:
+                made.append((one, processes.enter_context(running(one.settings, one.kind))))
+            except DoesNotFit as error:
+                found += left_out(one, dimension, size, str(error))
+        for one, trial in made:  # all processes are on their way by now
+            try:
+                trial.start()
+                trial.join_peers()
+                started.append((one, trial))
+            except (DoesNotFit, NotReady) as error:
+                found += left_out(one, dimension, size, str(error))
+        first = specifications[0].settings
+        if started:
+            time.sleep(first.settle_s)
+        try:
+            observations = observe([trial for _, trial in started], first)
+        except DoesNotFit as error:
+            return found + [gone for one, _ in started for gone in left_out(one, dimension, size, str(error))]
+        for (one, trial), observed in zip(started, observations, strict=True):
+            try:
+                found += [one.named(role) for role in measured(trial, observed, dimension, size)]
+            except NotReady as error:
+                found += left_out(one, dimension, size, str(error))
+    return found
+
+
+def left_out(one: Specification, dimension: str, size: float, why: str) -> list[Measurement]:
+    """The roles of conductors of a trial that did not fit."""
+    settings = one.settings
+    roles = [role for role, count in ((REAL_ROLE, settings.real), (HOLLOW_ROLE, settings.hollow)) if count]
+    return [one.named(Measurement(dimension, size, role, left_out=why)) for role in roles]
+
+
+def observe(trials: Sequence[Trial], settings: TrialSettings) -> list[Observed]:
+    """A quiet span, then a span of changes; or one span in which changes are made. Raises DoesNotFit."""
+    if not trials:
+        return []
+    before = [trial.read() for trial in trials]
     if not settings.measure_under_changes:
         time.sleep(settings.quiet_s)
-        after = trial.read()
-    trial.make_changes(changes, settings.changes, settings.changes_per_s)
+        after = [trial.read() for trial in trials]
+    for trial in trials:
+        changes = NodeChanges(trial.changed_nodes(), trial.settings.seed)
+        trial.make_changes(changes, settings.changes, settings.changes_per_s)
     if settings.measure_under_changes:
-        time.sleep(max(0.0, before.at + settings.quiet_s - time.monotonic()))
-        after = trial.read()
-    return Observed(before, after, trial.wait_for_changes())
+        time.sleep(max(0.0, before[0].at + settings.quiet_s - time.monotonic()))
+        after = [trial.read() for trial in trials]
+    return [Observed(*one) for one in zip(before, after, strict=True)]
 
 
 def measured(trial: Trial, observed: Observed, dimension: str, size: float) -> list[Measurement]:
-    """The measurement of each role that the trial had; a role that did not fit is left out and said so."""
+    """The measurement of each role that the trial had; a role that did not fit is left out and said so.
+
+    Raises NotReady where a change never came to some conductor.
+    """
+    observed = observed._replace(delays=trial.wait_for_changes())
     readers = {DISCOVERY_ROLE: discovery_measurement}
     if trial.real:
         readers[REAL_ROLE] = real_measurement
--- a/oatcart/scale/runs.py
+++ b/oatcart/scale/runs.py
@@ -5,7 +5,7 @@
 * `conductors`: hollow ones, all in one process, and a few real ones beside them, with a small list.
 * `nodes`: one list of all nodes, which is what conductors follow today. Where the list exceeds the protocol's
   1 MiB real and hollow conductors refuse it and are left out; the decision module alone, with no socket, is
-  measured at every size as the role `module`.
+  measured at every size of a full run as the role `module`, in a quick one only where others are left out.
 * `services`: so many services with the same nodes, as one list of all services, and as one list a service,
   where each conductor follows one service (roles that end in `_of_service`). Conductors follow one list, so
   one that calls several services has no way to do so with a list a service.
@@ -18,8 +18,7 @@
 roles `viewed_conductor`, `viewed_hollow_conductor`, `control` and `discovery_of_control`.
 
 A conductor fetches the whole list every 20 s. A full run measures for a multiple of that, whatever the file
-tells;
-a quick run does not: its bytes and processor time leave these fetches out.
+tells; a quick run does not: its bytes and processor time leave these fetches out.
 """
 
 import signal
@@ -33,17 +32,23 @@
 from oatcart.scale.children import raise_interrupted
 from oatcart.scale.conductor_settings import ROUTES_MOST, conductor_settings, list_entry, route_names
 from oatcart.scale.configuration import DAY_S, FleetSettings, RunSettings, Settings
-from oatcart.scale.figures import CONTROL_ROLE, DISCOVERY_ROLE, HOLLOW_ROLE, REAL_ROLE, play
+from oatcart.scale.figures import (
+    CONTROL_ROLE,
+    DISCOVERY_ROLE,
+    HOLLOW_ROLE,
+    REAL_ROLE,
+    Specification,
+    play_beside,
+)
 from oatcart.scale.fleet import plan_fleet
 from oatcart.scale.measurement import Measurement
 from oatcart.scale.module_rounds import module_figures
 from oatcart.scale.peers import PeerSettings
-from oatcart.scale.real import NotReady
-from oatcart.scale.trial import DoesNotFit, Trial, TrialSettings
+from oatcart.scale.trial import TrialSettings
 from oatcart.scale.view_trial import ViewTrial
 
 MODULE_ROLE = "module"
-OF_SERVICE = "_of_service"
+ROLES_OF_SERVICE = {role: f"{role}_of_service" for role in (REAL_ROLE, HOLLOW_ROLE, DISCOVERY_ROLE)}
 VIEWED_ROLES = {
     REAL_ROLE: "viewed_conductor",
     HOLLOW_ROLE: "viewed_hollow_conductor",
@@ -59,12 +64,17 @@
 HOLLOW_BESIDE, REAL_BESIDE = 4, 2  # conductors where they are not what grows
 HOLLOW_OF_LARGE_LIST, REAL_OF_LARGE_LIST = 1, 1  # each may take up a good part of a core
 REAL_MOST, REAL_MOST_QUICK = 8, 2  # in the dimension of conductors
-CHANGES_PER_S = 10.0  # where changes are not what grows
+CHANGES_PER_S, CHANGES_PER_S_QUICK = 10.0, 40.0  # where changes are not what grows
 MODULE_SPAN_MOST_S = 4.0  # virtual; at 27,000 nodes a second of it takes more than one of a core
 
 Progress = Callable[[str], None]
 
 
+def viewed(trial: TrialSettings) -> Specification:
+    """A trial behind the control role, whose roles have names of their own."""
+    return Specification(trial, ViewTrial, VIEWED_ROLES)
+
+
 def whole_fetches(span_s: float) -> float:
     """The span, made longer until it holds a whole number of the list's periodic fetches.
 
@@ -89,7 +99,7 @@
             settle_s=self.run.settle_for,
             quiet_s=self.run.measure_for if quick else whole_fetches(self.run.measure_for),
             changes=self.run.repeats,
-            changes_per_s=CHANGES_PER_S,
+            changes_per_s=CHANGES_PER_S_QUICK if quick else CHANGES_PER_S,
             limits=settings.limits,
             view=settings.view,
         )
@@ -101,11 +111,11 @@
         trial = replace(self.base, fleet=fleet, hollow=size, real=real)
         behind = replace(trial, fleet=self._fleet_with(VIEWS_NODES, size))
         if self.quick:  # what grows with conductors is the control role
-            return self._play_viewed("conductors", size, behind)
-        return self._play("conductors", size, trial) + self._play_viewed("conductors", size, behind)
+            return play_beside([viewed(behind)], "conductors", size)
+        return play_beside([Specification(trial), viewed(behind)], "conductors", size)
 
     def nodes(self, size: int) -> list[Measurement]:
-        """One list of so many nodes; the module alone beside it."""
+        """One list of so many nodes; conductors with views of it and the module alone beside it."""
         trial = replace(
             self.base,
             fleet=self.settings.fleet.scaled_to(size),
@@ -114,11 +124,10 @@
         )
         hollow = VIEWED_QUICK if self.quick else VIEWED
         behind = replace(trial, fleet=self._fleet_with(size, hollow), hollow=hollow)
-        return [
-            *self._play("nodes", size, trial),
-            self._module(size, trial),
-            *self._play_viewed("nodes", size, behind),
-        ]
+        found = play_beside([Specification(trial), viewed(behind)], "nodes", size)
+        if self.quick and not any(one.left_out for one in found):
+            return found  # the module has been measured in its conductors
+        return [*found, self._module(size, trial)]
 
     def services(self, size: int) -> list[Measurement]:
         """So many services in one list, and in a list each."""
@@ -128,9 +137,9 @@
             services_per_conductor=min(size, self.settings.fleet.services_per_conductor),
         )
         trial = replace(self.base, fleet=fleet, real=REAL_OF_LARGE_LIST)
-        one_list = self._play("services", size, replace(trial, hollow=HOLLOW_OF_LARGE_LIST))
-        lists = self._play("services", size, replace(trial, lists_by_service=True))
-        return one_list + [replace(one, role=one.role + OF_SERVICE) for one in lists]
+        one_list = Specification(replace(trial, hollow=HOLLOW_OF_LARGE_LIST))
+        lists = Specification(replace(trial, lists_by_service=True), role_names=ROLES_OF_SERVICE)
+        return play_beside([one_list, lists], "services", size)
 
     def routes(self, size: int) -> list[Measurement]:
         """A conductor with so many request classes."""
@@ -161,20 +170,8 @@
     def _fleet_with(self, nodes: int, conductors: int) -> FleetSettings:
         return replace(self.settings.fleet.scaled_to(nodes), conductors=conductors)
 
-    def _play_viewed(self, dimension: str, size: float, trial: TrialSettings) -> list[Measurement]:
-        """A trial behind the control role, whose roles have names of their own."""
-        found = self._play(dimension, size, trial, ViewTrial)
-        return [replace(one, role=VIEWED_ROLES[one.role]) for one in found]
-
-    def _play(
-        self, dimension: str, size: float, trial: TrialSettings, kind: type[Trial] = Trial
-    ) -> list[Measurement]:
-        """The measurements of a trial; where it does not fit, why."""
-        try:
-            return play(trial, dimension, size, kind)
-        except (DoesNotFit, NotReady) as error:
-            roles = [role for role, count in ((REAL_ROLE, trial.real), (HOLLOW_ROLE, trial.hollow)) if count]
-            return [Measurement(dimension, size, role, left_out=str(error)) for role in roles]
+    def _play(self, dimension: str, size: float, trial: TrialSettings) -> list[Measurement]:
+        return play_beside([Specification(trial)], dimension, size)
 
     def _module(self, size: int, trial: TrialSettings) -> Measurement:
         """The decision module alone, in virtual time."""
--- a/oatcart/scale/trial.py
+++ b/oatcart/scale/trial.py
@@ -247,6 +247,10 @@
         self._check_memory()
         return reading
 
+    def changed_nodes(self) -> list[PlannedNode]:
+        """The nodes of which some are changed."""
+        return list(self.plan.nodes)
+
     def make_changes(self, changes: NodeChanges, count: int, per_s: float) -> None:
         """Makes so many changes at a fixed rate; of several lists each change goes to its node's."""
         first = time.monotonic()
--- a/tests/scale/test_scale_runs.py
+++ b/tests/scale/test_scale_runs.py
@@ -13,7 +13,7 @@
 from oatcart.scale import runs, trial
 from oatcart.scale.children import Interrupted
 from oatcart.scale.configuration import FleetSettings, LimitSettings, RunSettings, Settings
-from oatcart.scale.figures import Delays, play, summarised
+from oatcart.scale.figures import Delays, Specification, play, play_beside, summarised
 from oatcart.scale.measurement import Measurement
 from oatcart.scale.runs import measure, sizes_of
 from oatcart.scale.trial import DoesNotFit, TrialSettings, check_fits
@@ -146,3 +146,20 @@
         os.kill(os.getpid(), signal.SIGTERM)
         time.sleep(1.0)
     assert signal.getsignal(signal.SIGTERM) is before
+
+
+def test_a_change_that_never_comes_leaves_its_trial_out_and_keeps_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    class Deaf(trial.Trial):
+        """A trial in which discovery is down while changes are made."""
+
+        def make_change(self, entry: dict) -> None:
+            self.discovery.outage(True)
+            super().make_change(entry)
+
+    monkeypatch.setattr(trial, "LAST_CHANGE_WITHIN_S", 0.5)
+    deaf = Specification(replace(SMALL, hollow=1, real=0), Deaf, {"hollow_conductor": "deaf"})
+    found = by_role(play_beside([Specification(replace(SMALL, hollow=1, real=0)), deaf], "nodes", 40))
+    assert found["hollow_conductor"].left_out is None
+    assert "changes lack a conductor" in found["deaf"].left_out
--- a/tests/scale/test_scale_views.py
+++ b/tests/scale/test_scale_views.py
@@ -63,6 +63,14 @@
         assert sum(map(len, delays.values())) == len(trial.holders[0])
 
 
+def test_changes_are_of_nodes_that_some_view_holds() -> None:
+    with running(SMALL, ViewTrial) as trial:
+        trial.start()
+        changed = {node.id for node in trial.changed_nodes()}
+        assert changed == {node for name in trial.names for node in trial.relay.members(name)}
+        assert 0 < len(changed) <= len(trial.plan.nodes)
+
+
 def test_a_control_role_that_died_is_an_error_and_all_else_is_ended() -> None:
     with pytest.raises((NotReady, ChildError, OSError)), running(SMALL, ViewTrial) as trial:
         trial.start()
