--- a/oatcart/views/alive.py
+++ b/oatcart/views/alive.py
@@ -1,8 +1,9 @@
 """Which conductors count as alive. Free of I/O; the clock is handed in, in seconds.
 
-- Each call of a conductor renews its lease. It counts as alive at once. - One whose lease has run out is
-silent. It stays for a grace, so that a restart within it moves nothing. - While more than a stated share of the conductors are silent, the silence is doubted: a network cut is likelier
-  than the loss of so many conductors. All stay then, each for a stated hold after its grace.
+- Each call of a conductor renews its lease. It counts as alive at once.
+- One whose lease has run out is silent. It stays for a grace, so that a restart within it moves nothing.
+- While more than a stated share of the conductors are silent, the silence is doubted: a network cut is
+  likelier than the loss of so many conductors. All stay then, each for a stated hold after its grace.
 """
 
 from collections.abc import Iterable
