--- a/oatcart/views/cover.py
+++ b/oatcart/views/cover.py
@@ -118,7 +118,7 @@
     missing_nodes = needs.nodes - len(ready_held)
     if missing_nodes <= 0 and len(zones) >= needs.zones:
         return held
-    others = [member_id for member_id in ready_members if member_id not in set(held)]
+    others = list(ready_members.keys() - set(held))
     ranked = [other for _, other in sorted(zip(matching.keys_of_viewer(name, others), others, strict=True))]
     for other in ranked:
         zones_missing = needs.zones - len(zones)
--- a/tests/views/test_views_subsets.py
+++ b/tests/views/test_views_subsets.py
@@ -402,7 +402,7 @@
 
 
 def test_where_nodes_have_few_holders_a_change_moves_its_share_and_at_most_a_twentieth_of_all_pairs():
-    """Bounds of 1.25 are then a few whole pairs, and keeping them moves more than a twentieth of the share."""
+    """A bound of 1.25 is then few whole pairs, and to keep it moves more than a twentieth of the share."""
     members, viewers = planned_members(), planned_viewers()[:60]
     subsets = subsets_of(members, viewers, FLEET_LIMITS)
     before = held_pairs(subsets, viewers)
