The control role: python -m oatcart.views serves each conductor its bounded view of the list

Need: a list of 27,000 nodes is longer than the 1 MiB that a conductor reads, so it starts with nobody. Change: a process that follows the whole list once over the discovery protocol and serves each conductor its view as an ordinary list, at an address of its own by its position in the file or by name. entries, trust, history, publisher, requests and revisions are free of I/O; decisions run in a thread of their own, so that drains and ends are told while views are decided. What one answer may take away is bounded; nonsense, a cut or an empty list leaves the last good one in force.

--- /dev/null
+++ b/oatcart/views/__main__.py
@@ -0,0 +1,61 @@
+"""`python -m oatcart.views deploy/views.yaml`: the control role that serves each conductor a bounded view of
+the fleet.
+
+Exit codes: 0 when told to end, 2 where the file cannot be used or an address cannot be listened at.
+"""
+
+# ruff: noqa: E402 - signals are set before the imports that take time
+
+import os
+import signal
+
+for _signal in signal.SIGTERM, signal.SIGINT:  # as in `oatcart.__main__`
+    signal.signal(_signal, lambda *_: os._exit(0))
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import argparse
+import sys
+import time
+import traceback
+
+from oatcart.net.log import Log
+from oatcart.net.loop import Loop
+from oatcart.net.reload import reloads, wake_pair
+from oatcart.views.configuration import Configuration, Wrong, read
+from oatcart.views.descriptors import check_descriptors
+from oatcart.views.role import ControlRole
+
+UNUSABLE = 2
+
+
+def assemble(configuration: Configuration) -> ControlRole:
+    """A control role on a loop of its own, which logs to standard error."""
+    loop = Loop(time.monotonic, lambda error: log.say("task", "".join(traceback.format_exception(error))))
+    log = Log(loop.clock)
+    return ControlRole(configuration, loop, log)
+
+
+def main(words: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="oatcart.views", description=__doc__)
+    parser.add_argument("file", help="the control role's settings, YAML")
+    parser.add_argument("--check", action="store_true", help="read and check the file, start nothing")
+    told = parser.parse_args(words)
+    woken = wake_pair()
+    try:
+        configuration = read(told.file)
+        check_descriptors(configuration)
+        if told.check:
+            print(f"{told.file} can be used: {len(configuration.conductors)} conductors")
+            return 0
+        role = assemble(configuration)
+        role.start()
+    except (Wrong, OSError) as error:
+        print(error, file=sys.stderr)
+        return UNUSABLE
+    role.loop.spawn(reloads(role.loop, role.log, woken, lambda: role.reload(told.file)))
+    while True:
+        role.turn()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/oatcart/views/configuration.py
@@ -0,0 +1,236 @@
+"""`deploy/views.yaml`: what an operator sets of the control role, checked. Every error names file, line and
+field."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import NamedTuple
+
+from ruamel.yaml.comments import CommentedMap
+
+from oatcart.net.stream import Address
+from oatcart.views.conductors import (
+    Conductor,
+    Group,
+    distinct_names,
+    filed_groups,
+    listed_groups,
+    numeric_address,
+    unfold,
+)
+from oatcart.views.records import ViewLimits
+from oatcart.views.trust import Guard
+from oatcart.yaml_files import Wrong, load, name, size, span, table, whole
+
+__all__ = ["Bounds", "Configuration", "Conductor", "NodeFields", "Source", "Wrong", "read"]
+
+WAIT_MOST = 60.0  # s; the protocol's
+SEED_MOST = 2**64 - 1
+DEFAULT_REGION = "default"
+
+
+class Source(NamedTuple):
+    """Discovery, which serves the whole list. Times in seconds, `list_most` in bytes.
+
+    `wait`: that a watch waits; `answer_within`: for the whole list; `retry_most`: the longest wait after a
+    failure; `reconcile_every`: the whole list is asked for so often even where nothing has failed.
+    """
+
+    address: Address = ("127.0.0.1", 8500)
+    wait: float = 20.0
+    answer_within: float = 10.0
+    retry_most: float = 5.0
+    reconcile_every: float = 600.0
+    list_most: int = 16 * 1024 * 1024
+
+
+class NodeFields(NamedTuple):
+    """Which fields of an entry tell its service and region; the regions of zones whose entries tell none."""
+
+    service_field: str = "service"
+    region_field: str = "region"
+    region_of_zone: dict[str, str] = {}  # never changed
+
+    def region(self, zone: str) -> str:
+        """The region of a zone as the file has it."""
+        return self.region_of_zone.get(zone, DEFAULT_REGION)
+
+
+class Bounds(NamedTuple):
+    """Bounds of what others may cost. Times in seconds.
+
+    `gather`: changes are gathered so long before watchers are woken; `unread_for`: an answer may stay unread
+    with no progress; `request_within`: a stranger's first request; `idle_most`: a kept connection between two
+    requests; `connections`: open at once, all together; `connections_each`: at one conductor's address.
+    """
+
+    gather: float = 0.2
+    unread_for: float = 10.0
+    request_within: float = 5.0
+    idle_most: float = 60.0
+    connections: int = 4096
+    connections_each: int = 4
+
+
+class Configuration(NamedTuple):
+    """What the control role is started with."""
+
+    listen: Address = ("127.0.0.1", 8600)
+    source: Source = Source()
+    nodes: NodeFields = NodeFields()
+    guard: Guard = Guard()
+    limits: ViewLimits = ViewLimits()
+    seed: int = 0
+    bounds: Bounds = Bounds()
+    conductors: tuple[Conductor, ...] = ()
+
+
+def _factor(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 1 <= value <= 100:
+        raise ValueError(f"{value} is no factor from 1 to 100")
+    return float(value)
+
+
+def _base(value: object) -> Address:
+    address = numeric_address(value)
+    if not address[1]:
+        raise ValueError(f"{value!r} has no port to count from")
+    return address
+
+
+def _share(value: object) -> float:
+    """
+    >>> _share("25%")
+    0.25
+    """
+    digits = str(value).removesuffix("%")
+    if not str(value).endswith("%") or not digits.isdecimal() or not 0 < int(digits) < 100:
+        raise ValueError(f"{value} is no share; write it as 25%")
+    return int(digits) / 100
+
+
+def _wait(value: object) -> float:
+    wait = span(value)
+    if wait > WAIT_MOST:
+        raise ValueError(f"{value} is longer than a watch may wait, 60s")
+    return wait
+
+
+SOURCE_KEYS = {
+    "address": numeric_address,
+    "wait": _wait,
+    "answer_within": span,
+    "retry_most": span,
+    "reconcile_every": span,
+    "list_most": size,
+}
+GUARD_KEYS = {
+    "drop_share": _share,
+    "drop_least": whole(1, 1_000_000),
+    "hold": span,
+    "least_nodes": whole(1, 1_000_000),
+}
+VIEW_KEYS = {
+    "most_members": whole(1, 100_000),
+    "most_bytes": whole(1, 1 << 20),
+    "most_entry_bytes": whole(1, 65536),
+    "overload": _factor,
+    "seed": whole(0, SEED_MOST),
+}
+BOUND_KEYS = {
+    "gather": span,
+    "unread_for": span,
+    "request_within": span,
+    "idle_most": span,
+    "connections": whole(1, 100_000),
+    "connections_each": whole(1, 64),
+}
+KEYS = {
+    "listen": numeric_address,
+    "base": _base,
+    "service_field": name,
+    "region_field": name,
+    "source": None,
+    "regions": None,
+    "guard": None,
+    "views": None,
+    "bounds": None,
+    "conductors_file": name,
+    "conductors": None,
+}
+
+
+class _Reader:
+    """One reading of a file; what is wrong is gathered in `wrong`."""
+
+    def __init__(self, folder: Path, where: Callable[[int], str]) -> None:
+        self.folder, self.where = folder, where
+        self.wrong: list[str] = []
+
+    def configuration(self, told: object) -> Configuration:
+        top = table(told, KEYS, "", self.where, self.wrong, 0)
+        views = self._part(told, top, "views", VIEW_KEYS)
+        nodes = NodeFields(
+            top.get("service_field", "service"), top.get("region_field", "region"), self._regions(told, top)
+        )
+        source = self._part(told, top, "source", SOURCE_KEYS)
+        guard = self._part(told, top, "guard", GUARD_KEYS)
+        bounds = self._part(told, top, "bounds", BOUND_KEYS)
+        seed = views.pop("seed", 0)
+        conductors = self._conductors(told, top, nodes)
+        return Configuration(
+            top.get("listen", Configuration().listen),
+            Source(**source),
+            nodes,
+            Guard(**guard),
+            ViewLimits(**views),
+            seed,
+            Bounds(**bounds),
+            conductors,
+        )
+
+    def _part(self, told: CommentedMap, top: dict, key: str, fields: dict) -> dict:
+        if key not in top:
+            return {}
+        return table(top[key], fields, f"{key}.", self.where, self.wrong, told.lc.key(key)[0])
+
+    def _regions(self, told: CommentedMap, top: dict) -> dict[str, str]:
+        """Zones by region in the file, regions by zone here."""
+        found: dict[str, str] = {}
+        if "regions" not in top:
+            return found
+        line = told.lc.key("regions")[0]
+        fields = (
+            dict.fromkeys(top["regions"] or (), distinct_names)
+            if isinstance(top["regions"], CommentedMap)
+            else {}
+        )
+        for region, zones in table(top["regions"], fields, "regions.", self.where, self.wrong, line).items():
+            for zone in zones:
+                if zone in found:
+                    here = self.where(top["regions"].lc.key(region)[0])
+                    self.wrong.append(f"{here}: regions.{region}: zone {zone} is in {found[zone]} already")
+                found[zone] = str(region)
+        return found
+
+    def _conductors(self, told: CommentedMap, top: dict, nodes: NodeFields) -> tuple[Conductor, ...]:
+        listed, filed = top.get("conductors"), top.get("conductors_file")
+        groups: list[Group] = []
+        if listed is not None:
+            line = told.lc.key("conductors")[0]
+            groups += listed_groups(listed, line, self.where, self.wrong)
+        if filed is not None:
+            groups += filed_groups(self.folder / filed, self.wrong)
+        listen = top.get("listen", Configuration().listen)
+        return unfold(groups, listen, top.get("base"), nodes.region, self.wrong)
+
+
+def read(path: str | Path) -> Configuration:
+    """The file's settings; raises Wrong with all that is wrong in it."""
+    told, where = load(path)
+    if told is None:
+        return Configuration()
+    reader = _Reader(Path(path).parent, where)
+    found = reader.configuration(told)
+    if reader.wrong:
+        raise Wrong("\n".join(reader.wrong))
+    return found
--- /dev/null
+++ b/oatcart/views/descriptors.py
@@ -0,0 +1,25 @@
+"""How many descriptors a control role needs, held against the limit that its process was started with."""
+
+import resource
+
+from oatcart.views.configuration import Configuration, Wrong
+
+# descriptors: standard streams, epoll, the wake pair, the main listener, the call to discovery; half
+# spare
+KEPT_BACK = 32
+
+
+def needed(configuration: Configuration) -> int:
+    """Descriptors for a listener of each conductor that has an address, and for all connections."""
+    listeners = sum(conductor.address is not None for conductor in configuration.conductors)
+    return listeners + configuration.bounds.connections + KEPT_BACK
+
+
+def check_descriptors(configuration: Configuration) -> None:
+    """Raises Wrong where the limit is lower than what is needed; the limit itself is the operators'."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit != resource.RLIM_INFINITY and needed(configuration) > limit:
+        raise Wrong(
+            f"{needed(configuration)} descriptors are needed (conductors' addresses, bounds.connections), "
+            f"{limit} are allowed; raise the limit (ulimit -n, LimitNOFILE) or lower bounds.connections"
+        )
--- /dev/null
+++ b/oatcart/views/publisher.py
@@ -0,0 +1,145 @@
+"""The views in force: entries of nodes, what was decided of each view, and a history of each view asked for.
+Free of I/O.
+
+What is known of a node is told at once to whoever holds it: a drain, a change, its end. Which nodes a view
+has is decided elsewhere (`deciding`) and may come later. A view's history begins when its conductor first
+asks.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+
+from oatcart.views.configuration import Conductor, Configuration, NodeFields
+from oatcart.views.deciding import Update, View
+from oatcart.views.entries import SERVING, Entry
+from oatcart.views.history import History
+from oatcart.views.records import Member, UnknownViewer, Viewer, ViewError, ViewLimits
+from oatcart.views.revisions import Revisions
+from oatcart.views.trust import Outcome
+
+DEFAULT_SERVICE = "default"  # of an entry that names none
+
+
+class NotDecided(ViewError):
+    """Nothing can be told of a view yet: there is no list of nodes, or the decision is under way."""
+
+
+class Publisher:
+    """Takes what has changed of the list of nodes and hands out histories by the names of conductors.
+    `decide` is handed what has to be decided; the views come back to `decided`."""
+
+    def __init__(
+        self, configuration: Configuration, revisions: Revisions, decide: Callable[[Update], None]
+    ) -> None:
+        self.configuration, self.revisions, self.decide = configuration, revisions, decide
+        self.entries: dict[str, Entry] = {}
+        self.views: dict[str, View] = {}  # as decided last; there may be nodes in them that are gone
+        self.histories: dict[str, History] = {}
+        self.changed: set[str] = set()  # views that may be different from their histories
+        self.viewers = _viewers(configuration.conductors)
+
+    def configure(self, configuration: Configuration) -> None:
+        """Another configuration. Views that stay the same get no new revision."""
+        old, self.configuration = self.configuration, configuration
+        viewers = _viewers(configuration.conductors)
+        gone = self.viewers.keys() - viewers.keys()
+        self.viewers = viewers
+        for name in gone:
+            self.views.pop(name, None)
+            self.histories.pop(name, None)
+        if _bases(configuration) != _bases(old):
+            self._decide_anew()
+        elif self.entries:
+            self.decide(Update(viewers=[*viewers.values()], gone=gone))
+
+    def take(self, outcome: Outcome) -> None:
+        """What has changed of the list; `publish` makes it known. Nothing is decided before the first list: a
+        view of it would be empty, and a conductor that is told so loses its list."""
+        if not self.entries:
+            self.entries.update(outcome.changed)
+            self._decide_anew()
+            return
+        self.entries.update(outcome.changed)
+        for node in outcome.removed:
+            self.entries.pop(node, None)
+        touched = outcome.changed.keys() | outcome.removed
+        self.changed.update(
+            name for name, history in self.histories.items() if not touched.isdisjoint(history.members)
+        )
+        members = [member(entry, self.configuration.nodes) for entry in outcome.changed.values()]
+        self.decide(Update(members=members, removed=outcome.removed))
+
+    def decided(self, views: Mapping[str, View]) -> None:
+        """Views as decided from now on; `publish` makes them known."""
+        for name, view in views.items():
+            if name in self.viewers:
+                self.views[name] = view
+                self.changed.add(name)
+
+    def publish(self, names: Iterable[str]) -> list[str]:
+        """Bring the histories of these views up to date; hands back those that have changed. A view that
+        cannot be decided stays as it was told last. No two views share a revision, so that a conductor which
+        comes with another view's is told the whole list."""
+        published = []
+        for name in names:
+            self.changed.discard(name)
+            history, view = self.histories.get(name), self.views.get(name)
+            if history is None or not isinstance(view, tuple):
+                continue
+            if history.replace(self._members(view), self.revisions.next()):
+                published.append(name)
+        return published
+
+    def history(self, name: str) -> History:
+        """The history of a conductor's view; raises UnknownViewer or what else ViewError stands for."""
+        if name not in self.viewers:
+            raise UnknownViewer(name)
+        if name not in self.histories:
+            view = self.views.get(name)
+            if not self.entries or view is None:
+                raise NotDecided("no list of nodes is known yet, or the view is not decided yet")
+            if isinstance(view, ViewError):
+                raise view
+            self.histories[name] = History(self.revisions.next(), self._members(view))
+            self.changed.discard(name)
+        return self.histories[name]
+
+    def failures(self) -> dict[str, str]:
+        """The views that cannot be decided, and why."""
+        return {name: str(view) for name, view in self.views.items() if isinstance(view, ViewError)}
+
+    def _members(self, view: tuple[str, ...]) -> dict[str, Entry]:
+        return {node: self.entries[node] for node in view if node in self.entries}
+
+    def _decide_anew(self) -> None:
+        if not self.entries:
+            return
+        self.decide(
+            Update(
+                members=[member(entry, self.configuration.nodes) for entry in self.entries.values()],
+                viewers=[*self.viewers.values()],
+                limits=self.configuration.limits,
+                seed=self.configuration.seed,
+            )
+        )
+
+
+def member(entry: Entry, nodes: NodeFields) -> Member:
+    """The entry as the decisions see it; a size of 0 or none stands for 1, as at a conductor."""
+    service, region = entry.fields.get(nodes.service_field), entry.fields.get(nodes.region_field)
+    return Member(
+        entry.id,
+        region if isinstance(region, str) and region else nodes.region(entry.zone),
+        entry.zone,
+        service if isinstance(service, str) and service else DEFAULT_SERVICE,
+        float(entry.fields.get("size") or 1.0),
+        entry.phase == SERVING,
+    )
+
+
+def _bases(configuration: Configuration) -> tuple[ViewLimits, int, NodeFields]:
+    """What all decisions depend on beside nodes and conductors."""
+    return configuration.limits, configuration.seed, configuration.nodes
+
+
+def _viewers(conductors: Iterable[Conductor]) -> dict[str, Viewer]:
+    return {conductor.viewer.name: conductor.viewer for conductor in conductors}
--- /dev/null
+++ b/tests/views/test_views_configuration.py
@@ -0,0 +1,208 @@
+"""`deploy/views.yaml`: what is read of it, and that every error names file, line and field, all at once."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from oatcart.views.configuration import Bounds, Configuration, Source, Wrong, read
+from oatcart.views.descriptors import check_descriptors, needed
+from oatcart.views.records import Viewer, ViewLimits
+from oatcart.views.trust import Guard
+
+ROOT = Path(__file__).parents[2]
+SHIPPED = ROOT / "deploy" / "views.yaml"
+
+
+def written(folder, text):
+    path = folder / "views.yaml"
+    path.write_text(text)
+    return path
+
+
+def test_the_shipped_file_holds_the_defaults_and_two_conductors():
+    found = read(SHIPPED)
+    assert found._replace(conductors=()) == Configuration()
+    assert [(one.viewer.name, one.address[1]) for one in found.conductors] == [
+        ("example-0", 21000),
+        ("example-1", 21001),
+    ]
+
+
+def test_all_that_is_set_is_read(tmp_path):
+    found = read(
+        written(
+            tmp_path,
+            """
+listen: 127.0.0.1:1
+service_field: svc
+region_field: geo
+source:
+  {address: 127.0.0.1:2, wait: 30s, answer_within: 3s, retry_most: 2s, reconcile_every: 5m, list_most: 8MiB}
+guard: {drop_share: 10%, drop_least: 3, hold: 4s, least_nodes: 20}
+views: {most_members: 50, most_bytes: 9000, most_entry_bytes: 180, overload: 1.5, seed: 7}
+bounds:
+  {gather: 100ms, unread_for: 1s, request_within: 2s, idle_most: 3s, connections: 9, connections_each: 2}
+regions: {north: [n1, n2], south: [s1]}
+""",
+        )
+    )
+    assert found.listen == ("127.0.0.1", 1)
+    assert found.nodes.service_field == "svc" and found.nodes.region_field == "geo"
+    assert found.source == Source(("127.0.0.1", 2), 30.0, 3.0, 2.0, 300.0, 8 << 20)
+    assert found.guard == Guard(0.1, 3, 4.0, 20)
+    assert found.limits == ViewLimits(50, 9000, 180, 1.5) and found.seed == 7
+    assert found.bounds == Bounds(0.1, 1.0, 2.0, 3.0, 9, 2)
+    assert [found.nodes.region(zone) for zone in ("n2", "s1", "x")] == ["north", "south", "default"]
+
+
+def test_positions_are_ports_groups_count_and_an_own_address_takes_its_position_with_it(tmp_path):
+    found = read(
+        written(
+            tmp_path,
+            """
+base: 127.0.0.1:3000
+regions: {north: [a]}
+conductors:
+  - {name: "edge-{number}", count: 2, zone: a, services: [x, y]}
+  - {name: own, zone: b, region: south, address: 127.0.0.2:9}
+  - {name: last, zone: a}
+""",
+        )
+    )
+    assert [(one.viewer, one.address) for one in found.conductors] == [
+        (Viewer("edge-0", "north", "a", ("x", "y")), ("127.0.0.1", 3000)),
+        (Viewer("edge-1", "north", "a", ("x", "y")), ("127.0.0.1", 3001)),
+        (Viewer("own", "south", "b", ()), ("127.0.0.2", 9)),
+        (Viewer("last", "north", "a", ()), ("127.0.0.1", 3003)),
+    ]
+
+
+def test_without_a_base_conductors_ask_by_name_alone(tmp_path):
+    found = read(written(tmp_path, "conductors: [{name: c, zone: a}]"))
+    assert found.conductors[0].address is None
+
+
+GROUP_OF_TWO = "{name: 'c{number}', count: 2, zone: a}"
+
+
+def test_a_file_of_json_lines_follows_the_listed_ones(tmp_path):
+    (tmp_path / "more.jsonl").write_text(
+        '{"name":"d","zone":"b","services":["x"]}\n\n{"name":"e","zone":"a","region":"r"}\n'
+    )
+    text = "base: 127.0.0.1:3000\nconductors_file: more.jsonl\nconductors: [{name: c, zone: a}]\n"
+    assert [(one.viewer, one.address[1]) for one in read(written(tmp_path, text)).conductors] == [
+        (Viewer("c", "default", "a", ()), 3000),
+        (Viewer("d", "default", "b", ("x",)), 3001),
+        (Viewer("e", "r", "a", ()), 3002),
+    ]
+
+
+def test_errors_in_json_lines_name_the_line(tmp_path):
+    (tmp_path / "more.jsonl").write_text(
+        '{"name":"c","zone":"a"}\n{"name":\n7\n{"name":"d"}\n{"name":"c","zone":"a"}\n{"name":"e","zne":"a"}\n'
+    )
+    with pytest.raises(Wrong) as wrong:
+        read(written(tmp_path, "conductors_file: more.jsonl"))
+    said = str(wrong.value)
+    assert "more.jsonl:2: unexpected" in said and "more.jsonl:3: the file is no table of keys" in said
+    assert "more.jsonl:4: zone is missing" in said and "more.jsonl:5: conductors: the name c stands" in said
+    assert "more.jsonl:6: zne is not known; did you mean zone?" in said
+    with pytest.raises(Wrong, match="none.jsonl: No such file"):
+        read(written(tmp_path, "conductors_file: none.jsonl"))
+
+
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("listen: here", ["1: listen: 'here' is not a numeric IPv4 address and a port"]),
+        ("lisen: 127.0.0.1:1", ["1: lisen is not known; did you mean listen?"]),
+        ("base: 127.0.0.1:0", ["1: base: '127.0.0.1:0' has no port to count from"]),
+        ("source:\n  wait: 61s\n  list_most: 4MB\n", ["2: source.wait: 61s is long", "3: source.list_most"]),
+        ("source: yes", ["1: source. is no table of keys"]),
+        (
+            "guard:\n  drop_share: 0.2\n  hold: 5\nviews:\n  most_members: 0\n",
+            [
+                "2: guard.drop_share: 0.2 is no share",
+                "3: guard.hold: 5 has no unit",
+                "5: views.most_members: 0 is not a whole number",
+            ],
+        ),
+        ("views: {overload: 0.5}", ["1: views.overload: 0.5 is no factor"]),
+        ("regions:\n  n: [a]\n  s: [a]\n", ["3: regions.s: zone a is in n already"]),
+        ("regions: [a]", ["1: regions. is no table of keys"]),
+        ("regions: {n: a}", ["1: regions.n: a is no list of distinct names"]),
+        ("conductors: {}", ["1: conductors is no list"]),
+        ("conductors:\n  - c\n", ["2: conductors[0]. is no table of keys"]),
+        ("conductors:\n  - name: c\n", ["2: conductors[0].zone is missing"]),
+        (
+            "conductors:\n  - {name: c, zone: a}\n  - {name: d, zone: a, servces: [x]}\n"
+            "  - {name: c, zone: a}\n",
+            [
+                "3: conductors[1].servces is not known; did you mean services?",
+                "4: conductors: the name c stands there twice",
+            ],
+        ),
+        ("conductors:\n  - {name: c, count: 2, zone: a}\n", ["2: conductors[0].name: a group's needs"]),
+        (
+            "conductors:\n  - {name: 'c{number}', count: 2, zone: a, address: 127.0.0.1:7}\n",
+            ["2: conductors[0].address: a group is listened for above the base"],
+        ),
+        (
+            "conductors:\n  - {name: c, zone: a, services: [x, x]}\n",
+            ["2: conductors[0].services: ['x', 'x'] is no list"],
+        ),
+        (
+            f"base: 127.0.0.1:65535\nconductors:\n  - {GROUP_OF_TWO}\n",
+            ["3: conductors: c1 would have port 65536; set a lower base"],
+        ),
+        (
+            "listen: 127.0.0.1:9\nconductors:\n  - {name: c, zone: a, address: 127.0.0.1:9}\n",
+            ["3: conductors: c and listen would both have 127.0.0.1:9"],
+        ),
+        ("conductors: [1\n", ["2: "]),
+        ("- 1\n", ["1: the file is no table"]),
+    ],
+)
+def test_errors_name_file_line_and_field(tmp_path, text, said):
+    with pytest.raises(Wrong) as wrong:
+        read(written(tmp_path, text))
+    for one in said:
+        assert f"views.yaml:{one}" in str(wrong.value), str(wrong.value)
+
+
+def test_more_descriptors_than_the_process_may_have_are_refused(monkeypatch):
+    configuration = read(SHIPPED)
+    assert needed(configuration) == 2 + 4096 + 32
+    monkeypatch.setattr("resource.getrlimit", lambda _: (4129, 4129))
+    with pytest.raises(Wrong, match="4130 descriptors are needed .* 4129 are allowed"):
+        check_descriptors(configuration)
+
+
+def run(*words):
+    command = [sys.executable, "-m", "oatcart.views", *map(str, words)]
+    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=20, check=False)
+
+
+def test_a_check_starts_nothing_and_ends_with_0():
+    found = run(SHIPPED, "--check")
+    assert (found.returncode, found.stderr) == (0, "") and "can be used: 2 conductors" in found.stdout
+
+
+def test_a_file_that_cannot_be_used_ends_with_2_and_says_all(tmp_path):
+    found = run(written(tmp_path, "listen: 1\nguard: {hold: 1}\n"), "--check")
+    assert found.returncode == 2 and "views.yaml:1: listen" in found.stderr
+    assert "views.yaml:2: guard.hold" in found.stderr
+    assert run(tmp_path / "none.yaml").returncode == 2
+
+
+def test_the_platforms_conductor_imports_none_of_it():
+    code = (
+        "import sys, oatcart.__main__\n"
+        "print([name for name in sys.modules if name.startswith('oatcart.views')])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=False, timeout=20
+    )
+    assert found.stdout.strip() == "[]", found.stderr
--- /dev/null
+++ b/tests/views/test_views_history.py
@@ -0,0 +1,137 @@
+"""A view's history: whoever has watched since whichever revision ends with the view as it stands."""
+
+from random import Random
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from oatcart.handover import AMOUNT_MOST
+from oatcart.views.entries import DELETED, parse_entry
+from oatcart.views.history import History
+from oatcart.views.revisions import SECOND, STRIDE_MOST, Revisions
+
+NODES = [f"s-{number}" for number in range(6)]
+PHASES = "SERVING", "DRAINING"
+VIEWS = st.dictionaries(st.sampled_from(NODES), st.tuples(st.sampled_from(PHASES), st.integers(0, 2)))
+
+
+def entries(view):
+    """Entries of nodes by id; a view is told as {id: (phase, start)}."""
+    return {
+        node: parse_entry({"id": node, "locality": "a", "phase": phase, "up_since_ms": started})
+        for node, (phase, started) in view.items()
+    }
+
+
+class Watcher:
+    """What a conductor makes of the answers that it gets."""
+
+    def __init__(self):
+        self.revision, self.held = 0, {}
+
+    def take(self, body):
+        answer = orjson.loads(body)
+        assert answer["revision"] >= self.revision
+        if answer["complete"]:
+            self.held = {}
+        for entry in answer["members"]:
+            self.held[entry["id"]] = entry
+            if entry["phase"] == DELETED:
+                del self.held[entry["id"]]
+        self.revision = answer["revision"]
+        return answer
+
+    def ask(self, history):
+        body = history.since(self.revision)
+        return None if body is None else self.take(body)
+
+
+def fields(view):
+    return {node: entry.fields for node, entry in entries(view).items()}
+
+
+@settings(max_examples=150, deadline=None)
+@given(views=st.lists(VIEWS, min_size=1, max_size=12), data=st.data(), most=st.sampled_from([1, 3, 8, 1000]))
+def test_any_watcher_since_any_revision_ends_at_the_view(views, data, most):
+    """Each watcher asks at some of the revisions; whatever it skipped, in the end it holds just the view."""
+    history = History(10, entries(views[0]), most)
+    watchers = [Watcher() for _ in range(3)]
+    for revision, view in enumerate(views[1:], 11):
+        asking = data.draw(st.sets(st.integers(0, 2)))
+        for number in asking:
+            watchers[number].ask(history)
+        history.replace(entries(view), revision)
+        assert history.logged <= most and len(history.left) <= most and len(history.changed_at) <= most
+    for watcher in watchers:
+        watcher.ask(history)
+        assert watcher.held == fields(views[-1]) and watcher.revision == history.revision
+        assert watcher.ask(history) is None
+
+
+def test_changes_tell_each_node_once_as_it_stands():
+    history = History(1, entries({"s-0": ("SERVING", 0), "s-1": ("SERVING", 0), "s-2": ("SERVING", 0)}))
+    history.replace(entries({"s-0": ("DRAINING", 0), "s-1": ("SERVING", 0), "s-2": ("SERVING", 0)}), 2)
+    history.replace(entries({"s-1": ("SERVING", 5), "s-2": ("SERVING", 0)}), 3)
+    told = orjson.loads(history.since(1))
+    assert told["complete"] is False and told["revision"] == 3
+    assert {entry["id"]: (entry["phase"], entry["up_since_ms"]) for entry in told["members"]} == {
+        "s-0": ("DELETED", 0),
+        "s-1": ("SERVING", 5),
+    }
+
+
+def test_a_view_that_stays_the_same_gets_no_revision():
+    history = History(1, entries({"s-0": ("SERVING", 0)}))
+    assert not history.replace(entries({"s-0": ("SERVING", 0)}), 2)
+    assert history.revision == 1 and history.since(1) is None
+    assert orjson.loads(history.nothing()) == {"revision": 1, "complete": False, "members": []}
+
+
+def test_a_revision_must_grow():
+    history = History(5, {})
+    with pytest.raises(ValueError, match="revision 5 after 5"):
+        history.replace(entries({"s-0": ("SERVING", 0)}), 5)
+
+
+@pytest.mark.parametrize("foreign", [0, 9, 11, 15, 21, 10**12])
+def test_a_revision_that_was_never_issued_gets_the_whole_view(foreign):
+    """Failure: a revision of another control role that lies among ours would be told changes that it cannot
+    use."""
+    history = History(10, entries({"s-0": ("SERVING", 0)}))
+    history.replace(entries({"s-0": ("SERVING", 0), "s-1": ("SERVING", 0)}), 14)
+    history.replace(entries({"s-1": ("SERVING", 0)}), 20)
+    told = orjson.loads(history.since(foreign))
+    assert told["complete"] is True and [entry["id"] for entry in told["members"]] == ["s-1"]
+
+
+def test_whoever_is_too_far_behind_gets_the_whole_view_and_the_log_stays_bounded():
+    history = History(1, entries({"s-0": ("SERVING", 0)}), changes_most=3)
+    for revision in range(2, 50):
+        history.replace(entries({"s-0": ("SERVING", revision)}), revision)
+    assert (history.logged, len(history.log), history.oldest) == (3, 3, 46)
+    assert orjson.loads(history.since(45))["complete"] is True
+    assert orjson.loads(history.since(46))["complete"] is False
+
+
+def test_a_change_larger_than_the_log_leaves_a_history_that_still_answers():
+    history = History(1, entries({"s-0": ("SERVING", 0)}), changes_most=2)
+    history.replace(entries(dict.fromkeys(NODES, ("SERVING", 0))), 2)
+    assert history.logged == 0 and history.since(2) is None
+    assert orjson.loads(history.since(1))["complete"] is True
+
+
+def test_a_view_that_has_become_empty_is_told_as_deletions_not_as_an_empty_list():
+    history = History(1, entries({"s-0": ("SERVING", 0), "s-1": ("SERVING", 0)}))
+    history.replace({}, 2)
+    told = orjson.loads(history.since(1))
+    assert told["complete"] is False and {entry["phase"] for entry in told["members"]} == {"DELETED"}
+
+
+def test_revisions_grow_while_the_clock_steps_back_and_stay_readable_for_a_conductor():
+    times = iter([2.0e9, 2.0e9, 1.9e9, 2.0e9 + 1])
+    revisions = Revisions(lambda: next(times), Random(1))
+    issued = [revisions.next() for _ in range(4)]
+    assert issued == sorted(set(issued)) and issued[0] > 2.0e9 * SECOND and issued[-1] < AMOUNT_MOST
+    assert issued[2] - issued[1] <= STRIDE_MOST < issued[3] - issued[2]
--- /dev/null
+++ b/tests/views/test_views_trust.py
@@ -0,0 +1,151 @@
+"""What is believed of discovery's answers: drains at once, a list that drops too much only when it says so
+twice."""
+
+import orjson
+import pytest
+
+from oatcart.views.entries import MalformedAnswer, parse_answer
+from oatcart.views.trust import Guard, RefusedAnswer, TrustedList
+
+GUARD = Guard(drop_share=0.25, drop_least=2, hold=10.0, least_nodes=2)
+
+
+def node(name, phase="SERVING", **more):
+    return {"id": name, "host_port": "127.0.0.1:5", "locality": "a", "phase": phase} | more
+
+
+def answer(members, revision=1, complete=True):
+    return parse_answer(orjson.dumps({"revision": revision, "complete": complete, "members": members}))
+
+
+def names(count):
+    return [f"s-{number}" for number in range(count)]
+
+
+def standing(count=20, guard=GUARD):
+    trusted = TrustedList(guard)
+    trusted.take(0.0, answer([node(name) for name in names(count)]))
+    return trusted
+
+
+def whole(trusted, now, left, **phases):
+    return trusted.take(now, answer([node(name, phases.get(name, "SERVING")) for name in left]))
+
+
+def test_what_is_within_the_share_goes_at_once():
+    trusted = standing()
+    outcome = whole(trusted, 1.0, names(15))
+    assert outcome.removed == set(names(20)[15:]) and outcome.held == 0 and len(trusted.entries) == 15
+
+
+def test_what_is_beyond_the_share_stays_and_goes_once_a_list_after_the_hold_says_so_too():
+    trusted = standing()
+    outcome = whole(trusted, 1.0, names(14))
+    assert (outcome.removed, outcome.held, trusted.ask_again()) == (frozenset(), 6, 11.0)
+    assert whole(trusted, 5.0, names(14)).removed == frozenset() and trusted.ask_again() == 11.0
+    assert whole(trusted, 11.0, names(14)).removed == set(names(20)[14:])
+    assert len(trusted.entries) == 14 and trusted.ask_again() > 1e9
+
+
+def test_who_is_back_within_the_hold_was_never_gone():
+    trusted = standing()
+    whole(trusted, 1.0, names(2))
+    outcome = whole(trusted, 11.0, names(20))
+    assert outcome == ({}, frozenset(), 0) and len(trusted.entries) == 20 and not trusted.doubted
+
+
+def test_while_some_are_doubted_all_else_is_believed():
+    trusted = standing()
+    outcome = whole(trusted, 1.0, [*names(10), "new"], **{"s-3": "DRAINING"})
+    assert set(outcome.changed) == {"new", "s-3"} and outcome.held == 10
+    assert trusted.entries["s-3"].phase == "DRAINING"
+
+
+@pytest.mark.parametrize("count", [0, 1])
+def test_a_list_with_fewer_nodes_than_the_least_is_refused_and_nothing_goes(count):
+    trusted = standing()
+    with pytest.raises(RefusedAnswer, match=f"{count} nodes, fewer than 2"):
+        whole(trusted, 1.0, names(count))
+    assert len(trusted.entries) == 20
+    with pytest.raises(RefusedAnswer):
+        whole(trusted, 100.0, names(count))
+
+
+def test_nodes_that_were_draining_may_all_go():
+    trusted = standing()
+    drained = dict.fromkeys(names(18), "DRAINING")
+    assert len(whole(trusted, 1.0, names(20), **drained).changed) == 18
+    assert len(whole(trusted, 2.0, names(20)[18:]).removed) == 18
+
+
+def test_deletions_among_changes_are_doubted_like_gaps_in_a_list():
+    trusted = standing()
+    gone = [node(name, "DELETED") for name in names(8)]
+    outcome = trusted.take(1.0, answer(gone, 2, complete=False))
+    assert (outcome.removed, outcome.held) == (frozenset(), 8)
+    again = trusted.take(20.0, answer(gone, 3, complete=False))
+    assert again.held == 8, "only a whole list confirms"
+    assert len(whole(trusted, 21.0, names(20)[8:]).removed) == 8
+
+
+def test_a_few_deletions_among_changes_are_believed():
+    trusted = standing()
+    outcome = trusted.take(1.0, answer([node("s-0", "DELETED"), node("never", "DELETED")], 2, complete=False))
+    assert outcome.removed == {"s-0"} and not outcome.changed
+
+
+def test_a_small_fleet_may_lose_what_the_least_allows():
+    trusted = standing(4)
+    assert whole(trusted, 1.0, names(2)).removed == {"s-2", "s-3"}
+
+
+def test_a_node_whose_entry_is_spoilt_stays_as_it_was():
+    trusted = standing()
+    members = [node(name) for name in names(20)]
+    members[4]["phase"] = "SPOILT"
+    members[5]["host_port"] = "nowhere"
+    members[6]["up_since_ms"] = -1
+    told = answer(members)
+    outcome = trusted.take(1.0, told)
+    assert told.whole and len(told.odd) == 3 and outcome == ({}, frozenset(), 0)
+    assert trusted.entries["s-4"].phase == "SERVING"
+
+
+def test_a_doubted_node_whose_entry_is_spoilt_is_there():
+    trusted = standing()
+    whole(trusted, 1.0, names(10))
+    trusted.take(11.0, answer([*map(node, names(10)), *(node(name, "SPOILT") for name in names(20)[10:])]))
+    assert len(trusted.entries) == 20 and not trusted.doubted
+
+
+@pytest.mark.parametrize("spoilt", [7, None, {}, {"id": ""}, {"id": 5}, {"id": "x" * 257}])
+def test_a_list_with_an_entry_that_may_be_anyones_leaves_out_nobody(spoilt):
+    trusted = standing()
+    told = answer([spoilt, *map(node, names(18))])
+    assert not told.whole and trusted.take(1.0, told).removed == frozenset()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"what?",
+        b"[]",
+        b'{"revision":1}',
+        b'{"revision":1,"members":{}}',
+        b'{"members":[]}',
+        b'{"revision":"1","members":[]}',
+        b'{"revision":-1,"members":[]}',
+        b'{"revision":1,"complete":true,"members":[{"id',
+    ],
+)
+def test_an_answer_that_is_no_list_is_told_apart(body):
+    with pytest.raises(MalformedAnswer):
+        parse_answer(body)
+
+
+def test_entries_are_passed_on_as_they_came():
+    fields = node("s-1", flavor="m2", cell=3, size=1.5, up_since_ms=1700000000123, other={"a": [1, None]})
+    entry = answer([fields]).entries["s-1"]
+    assert orjson.loads(entry.encoded) == fields
+    assert orjson.loads(entry.deleted) == fields | {"phase": "DELETED"}
