Views: holders are told of a node that changes its service; arrays grow by a quarter

Need: take_changed tells every conductor whose view or a record in it changed; a longer run of the state machine (600 examples of 40 steps asked for) found a node that changed its service within an unchanged view untold. Change: such nodes are noted, and their holders told; a test of its own. Arrays of a service grow by a quarter rather than to twice, which held four times the pairs.

--- a/oatcart/views/matching.py
+++ b/oatcart/views/matching.py
@@ -19,6 +19,8 @@
 from oatcart.views.slots import Slots
 
 _NO_ZONE = -1
+_GROWTH = 1.25  # of arrays that are too short
+_LEAST_ROOM = 8
 
 
 class Spread(NamedTuple):
@@ -347,12 +349,12 @@
         self._admits[self._loads < self._places] = numpy.inf
 
     def _make_room(self) -> None:
-        """Arrays as long as there are numbers, and twice as long as before when they grow."""
+        """Arrays as long as there are numbers, and somewhat longer when they grow."""
         viewers, nodes = self._held.shape
         if len(self.viewers.names) > viewers:
-            viewers = 2 * len(self.viewers.names)
+            viewers = _roomy(len(self.viewers.names))
         if len(self.members.names) > nodes:
-            nodes = 2 * len(self.members.names)
+            nodes = _roomy(len(self.members.names))
         if (viewers, nodes) == self._held.shape:
             return
         held = numpy.zeros((viewers, nodes), dtype=bool)
@@ -371,6 +373,10 @@
         self._admits = _grown(self._admits, nodes, -numpy.inf)
 
 
+def _roomy(count: int) -> int:
+    return int(_GROWTH * count) + _LEAST_ROOM
+
+
 def _grown(array: numpy.ndarray, length: int, fill: float) -> numpy.ndarray:
     grown = numpy.full(length, fill, dtype=array.dtype)
     grown[: len(array)] = array
--- a/oatcart/views/subsets.py
+++ b/oatcart/views/subsets.py
@@ -34,6 +34,7 @@
         self._counts_before: dict[
             str, int
         ] = {}  # nodes of each service whose nodes changed, when last settled
+        self._of_other_service: set[str] = set()  # nodes that have changed their service
         self._unsettled: set[str] = set()
         self._unshared: set[str] = set()  # conductors whose quotas are to be worked out
         self._views: dict[str, tuple[str, ...]] = {}
@@ -52,6 +53,7 @@
             return
         if before is not None and before.service != member.service:
             self.drop_member(member.id)
+            self._of_other_service.add(member.id)
         self._note_count(member.service)
         self._members[member.id] = member
         self._pool(member.service).put_member(member)
@@ -162,6 +164,9 @@
         self._unsettled.clear()
         for name in moved & self._viewers.keys():
             self._renew_view(self._viewers[name])
+        for member_id in self._of_other_service & self._members.keys():
+            self._changed |= self._pools[self._members[member_id].service].holders_of(member_id)
+        self._of_other_service.clear()
 
     def _note_shifted_quotas(self) -> None:
         """Note the conductors whose shares of their views change with the number of a service's nodes."""
--- a/tests/views/test_views_subsets.py
+++ b/tests/views/test_views_subsets.py
@@ -356,6 +356,15 @@
     assert held_pairs(other, viewers) != held_pairs(subsets_of(members, viewers, FLEET_LIMITS), viewers)
 
 
+def test_holders_are_told_of_a_node_that_changes_its_service_though_they_hold_the_same_nodes():
+    member, viewer = members_of("api", 1)[0], viewers_of(1, ("api", "cart"))[0]
+    subsets = subsets_of([member], [viewer])
+    subsets.take_changed()
+    subsets.put_member(member._replace(service="cart"))
+    assert subsets.view(viewer.name) == (member.id,)
+    assert subsets.take_changed() == {viewer.name}
+
+
 def test_a_drain_reaches_every_holder_and_moves_nobody():
     members, viewers = planned_members(), planned_viewers()
     subsets = subsets_of(members, viewers, FLEET_LIMITS)
