--- a/oatcart/views/role.py
+++ b/oatcart/views/role.py
@@ -75,11 +75,14 @@
         self._keep_telling()
 
     def turn(self, longest: float = inf) -> None:
-        """One turn of the loop, `longest` s of waiting at most. Raises RuntimeError where the follower has
-        failed: whoever supervises the process starts it again, and conductors keep their lists meanwhile."""
+        """One turn of the loop, `longest` s of waiting at most. Raises RuntimeError where the follower or a
+        decision has failed by an error that nobody foresaw: whoever supervises the process starts it again, and
+        conductors keep their lists meanwhile."""
         self.loop.turn(longest)
         if self.follower.failed:
             raise RuntimeError("the follower has failed; its log line tells why")
+        if self.deciding.failure is not None:
+            raise RuntimeError("a decision has failed") from self.deciding.failure
         self.longest = max(self.longest, self.loop.clock() - self.loop.now)
 
     def stop(self) -> None:
@@ -163,9 +166,21 @@
         return listeners
 
     def _taken(self, outcome: Outcome) -> None:
+        self._check_sizes(outcome)
         self.publisher.take(outcome)
         self._publish_soon()
 
+    def _check_sizes(self, outcome: Outcome) -> None:
+        """The bytes of a view are bounded by its number of nodes and by what the file tells of an entry."""
+        longest = max((len(entry.encoded) for entry in outcome.changed.values()), default=0)
+        told = self.configuration.limits.most_entry_bytes
+        if longest > told:
+            self.log.say(
+                "size",
+                f"an entry takes {longest} bytes, more than views.most_entry_bytes {told}: "
+                "a view may take more than views.most_bytes",
+            )
+
     def _decided(self, views: Mapping[str, View]) -> None:
         self.publisher.decided(views)
         self._publish_soon()
--- /dev/null
+++ b/tests/views/test_views_deciding.py
@@ -0,0 +1,92 @@
+"""Decisions in their own thread: what is told while one is under way, and what an error in one does."""
+
+import pytest
+from views_stage import Stage, conductor, ids, node, phases
+
+from oatcart.views.deciding import Decider, Update
+from oatcart.views.records import Member, TooManyServices, Viewer, ViewLimits
+from oatcart.views.role import ControlRole
+
+
+@pytest.fixture
+def stage():
+    one = Stage([conductor("c0")])
+    one.discovery.put(*(node(f"s-{number}") for number in range(4)))
+    one.ready()
+    yield one
+    one.close()
+
+
+def member(name, service="x"):
+    return Member(name, "r", "a", service, 1.0, True)
+
+
+def hold_back(stage):
+    """From now on nothing is decided; hands back what would have been, to be put later."""
+    held = []
+    stage.role.publisher.decide = held.append
+    return held
+
+
+def test_drains_and_ends_are_told_while_a_decision_is_under_way(stage):
+    """Failure: the loss of a zone takes seconds to decide, and a drain behind it would come too late."""
+    revision = stage.get("c0")["revision"]
+    held = hold_back(stage)
+    stage.discovery.drain("s-0")
+    stage.discovery.drop("s-1")
+    stage.discovery.put(node("new"))
+    stage.until(lambda: len(held) >= 1 and "new" in stage.role.publisher.entries, "all of it heard")
+    stage.until(lambda: len(stage.get("c0")["members"]) == 3, "the end told")
+    told = stage.get("c0", f"?since={revision}")
+    assert phases(told) == {"s-0": "DRAINING", "s-1": "DELETED"}
+    for update in held:
+        stage.role.deciding.put(update)
+    stage.until(lambda: "new" in ids(stage.get("c0")), "what was decided")
+
+
+def test_a_view_is_never_told_before_a_decision_on_the_first_list():
+    """Failure: decided without a list, every view is empty, and a conductor told so loses its own."""
+    stage = Stage([conductor("c0")])
+    try:
+        held = hold_back(stage)
+        stage.discovery.put(node("s-0"))
+        stage.until(lambda: stage.role.publisher.entries, "the list")
+        address = stage.role.address_of("c0")
+        refused = stage.call(address, "/v1/servers")
+        stage.until(lambda: refused.over, "an answer")
+        assert "status 503" in str(refused.ended) and len(held) == 1
+        stage.role.deciding.put(held[0])
+        assert ids(stage.get("c0")) == ["s-0"]
+    finally:
+        stage.close()
+
+
+def test_an_unforeseen_error_in_a_decision_ends_the_process_not_the_views(stage):
+    before = stage.get("c0")
+    stage.role.deciding.put(Update(members=[None]))
+    stage.until(lambda: stage.role.deciding.failure, "the error")
+    assert stage.get("c0") == before
+    with pytest.raises(RuntimeError, match="a decision has failed"):
+        stage.role.turn(0.0)
+    assert isinstance(stage.role, ControlRole)
+
+
+def test_updates_that_wait_are_decided_together_and_only_what_changed_comes_back():
+    decider = Decider()
+    everyone = [Viewer("c0", "r", "a", ("x",)), Viewer("c1", "r", "a", ("y",))]
+    first = Update([member("x0"), member("y0", "y")], viewers=everyone, limits=ViewLimits(), seed=3)
+    assert decider.decide([first]) == {"c0": ("x0",), "c1": ("y0",)}
+    assert decider.decide([Update([member("x1")]), Update(removed=["x0"])]) == {"c0": ("x1",)}
+    assert decider.decide([Update(gone=["c1"]), Update([member("y1", "y")])]) == {}
+
+
+def test_a_view_that_cannot_be_decided_comes_back_as_the_reason():
+    decider = Decider()
+    services = [Update([member(f"{one}{number}", one) for one in "xyz" for number in range(2)])]
+    views = decider.decide([Update(viewers=[Viewer("c0", "r", "a", ())], limits=ViewLimits(3)), *services])
+    assert isinstance(views["c0"], TooManyServices) and "needs 6 nodes" in str(views["c0"])
+
+
+def test_entries_longer_than_the_file_tells_are_logged(stage):
+    stage.discovery.put(node("long", pad="x" * 200))
+    stage.until(lambda: stage.logged("more than views.most_entry_bytes 145"), "a word in the log")
