--- a/oatcart/views/role.py
+++ b/oatcart/views/role.py
@@ -75,9 +75,11 @@
         self._keep_telling()
 
     def turn(self, longest: float = inf) -> None:
-        """One turn of the loop, `longest` s of waiting at most. Raises RuntimeError where the follower or a
-        decision has failed by an error that nobody foresaw: whoever supervises the process starts it again, and
-        conductors keep their lists meanwhile."""
+        """One turn of the loop, `longest` s of waiting at most.
+
+        Raises RuntimeError where the follower or a decision has failed by an error that nobody foresaw:
+        whoever supervises the process starts it again, and conductors keep their lists meanwhile.
+        """
         self.loop.turn(longest)
         if self.follower.failed:
             raise RuntimeError("the follower has failed; its log line tells why")
