--- a/oatcart/views/subsets.py
+++ b/oatcart/views/subsets.py
@@ -38,7 +38,7 @@
         self._unsettled: set[str] = set()
         self._unshared: set[str] = set()  # conductors whose quotas are to be worked out
         self._views: dict[str, tuple[str, ...]] = {}
-        self._refused: dict[str, TooManyServices] = {}
+        self._refused: dict[str, int] = {}  # the places that conductors would need whose services do not fit
         self._changed: set[str] = set()
 
     # Changes.
@@ -109,7 +109,7 @@
         """
         self._settle()
         if name in self._refused:
-            raise self._refused[name]
+            raise TooManyServices(name, self._refused[name], self._limits.capacity)
         if name not in self._viewers:
             raise UnknownViewer(name)
         return self._views[name]
@@ -191,7 +191,7 @@
         needed = least_needed(counts)
         self._refused.pop(viewer.name, None)
         if needed > self._limits.capacity:
-            self._refused[viewer.name] = TooManyServices(viewer.name, needed, self._limits.capacity)
+            self._refused[viewer.name] = needed
             self._forget_viewer(viewer)
             if not viewer.services:
                 self._viewers_of_all.add(viewer.name)
