A control role whose publishing fails ends; a refused conductor keeps its list in a test

Need: an unforeseen error while views were brought up to date left them stale until the next change. Change: ControlRole.turn raises there too; tests of that, and of a real conductor that is refused, keeps its list and is told what it missed.

--- a/oatcart/views/role.py
+++ b/oatcart/views/role.py
@@ -58,6 +58,7 @@
         self.server = Server(self.loop, self.log, self.publisher, configuration.bounds, self.status)
         self.listeners: dict[ListenKey, Listener] = {}  # of conductors
         self.publishing = False  # a task gathers changes or brings views up to date
+        self.failure: Exception | None = None  # of bringing views up to date
         self.longest = 0.0  # s that a turn of the loop took, since the last line on it
 
     def start(self) -> None:
@@ -77,14 +78,16 @@
     def turn(self, longest: float = inf) -> None:
         """One turn of the loop, `longest` s of waiting at most.
 
-        Raises RuntimeError where the follower or a decision has failed by an error that nobody foresaw:
-        whoever supervises the process starts it again, and conductors keep their lists meanwhile.
+        Raises RuntimeError where following, deciding or publishing has failed by an error that nobody
+        foresaw: whoever supervises the process starts it again, and conductors keep their lists meanwhile.
         """
         self.loop.turn(longest)
         if self.follower.failed:
             raise RuntimeError("the follower has failed; its log line tells why")
         if self.deciding.failure is not None:
             raise RuntimeError("a decision has failed") from self.deciding.failure
+        if self.failure is not None:
+            raise RuntimeError("views cannot be brought up to date") from self.failure
         self.longest = max(self.longest, self.loop.clock() - self.loop.now)
 
     def stop(self) -> None:
@@ -199,6 +202,9 @@
             while self.publisher.changed:
                 self.server.wake(self.publisher.publish([*islice(self.publisher.changed, SLICE)]))
                 yield Wait(until=self.loop.now)
+        except Exception as error:
+            self.failure = error
+            raise
         finally:
             self.publishing = False
 
--- a/tests/views/test_views_conductor.py
+++ b/tests/views/test_views_conductor.py
@@ -116,6 +116,20 @@
     one.end()
 
 
+def test_a_conductor_that_is_refused_keeps_its_list_and_is_told_what_it_missed(stage, tmp_path):
+    one = Conductor(stage, tmp_path, stage.role.address_of("c0"))
+    one.holds("x0", "x1", "x2")
+    stage.role.publisher.configure(stage.role.configuration._replace(conductors=()))
+    stage.role.server.wake(["c0"])
+    stage.until(lambda: "status 404" in one.log(), "the refusal")
+    stage.discovery.drain("x0")
+    stage.for_(0.3)
+    assert set(one.table) == {"x0", "x1", "x2"}, "its list stands"
+    stage.role.publisher.configure(stage.role.configuration)
+    one.holds("x1", "x2")
+    one.end()
+
+
 def test_a_control_role_that_dies_and_comes_back_costs_nothing_and_what_has_changed_is_told(stage, tmp_path):
     address = stage.role.address_of("c0")
     one = Conductor(stage, tmp_path, address)
--- a/tests/views/test_views_deciding.py
+++ b/tests/views/test_views_deciding.py
@@ -71,6 +71,17 @@
     assert isinstance(stage.role, ControlRole)
 
 
+def test_an_unforeseen_error_in_publishing_ends_the_process_too(stage):
+    failures = []
+    stage.loop.failed = failures.append
+    stage.role.publisher.publish = None
+    stage.get("c0")
+    stage.discovery.drain("s-0")
+    stage.until(lambda: failures, "the error")
+    with pytest.raises(RuntimeError, match="views cannot be brought up to date"):
+        stage.role.turn(0.0)
+
+
 def test_updates_that_wait_are_decided_together_and_only_what_changed_comes_back():
     decider = Decider()
     everyone = [Viewer("c0", "r", "a", ("x",)), Viewer("c1", "r", "a", ("y",))]
