--- a/oatcart/views/subsets.py
+++ b/oatcart/views/subsets.py
@@ -200,8 +200,7 @@
             self._set_quota(service, viewer.name, quota)
 
     def _in_own_order(self, viewer: Viewer) -> list[str]:
-        """A conductor's services, in an order of its own, which decides who gets the places that do not
-        divide."""
+        """A conductor's services, in an order of its own: the first get the places that do not divide."""
         return sorted(
             set(self._services_of(viewer)),
             key=lambda service: (unit_hash("order", f"{viewer.name}\0{service}", self._seed), service),
