--- a/oatcart/scale/agreement.py
+++ b/oatcart/scale/agreement.py
@@ -19,11 +19,10 @@
 from statistics import fmean
 from typing import NamedTuple
 
-from oatcart.scale.conductor_settings import NodeChanges
 from oatcart.scale.discovery import ClientFigures
 from oatcart.scale.hollow import HeldTables
 from oatcart.scale.peers import PeerTraffic
-from oatcart.scale.trial import Reading, Trial, TrialSettings, running
+from oatcart.scale.trial import Reading, Trial, TrialSettings, make_changes, running
 
 DIFFERENCE_MOST = 0.1  # of bytes and messages, as a part of the real conductor's
 COMMON_WEIGHT_LEAST = 0.9  # of a table's weight on the same nodes
@@ -79,9 +78,7 @@
         quiet_from = trial.read()
         time.sleep(settings.quiet_s)
         quiet_until = trial.read()
-        trial.make_changes(
-            NodeChanges(trial.plan.nodes, settings.seed), settings.changes, settings.changes_per_s
-        )
+        make_changes([trial], settings.changes, settings.changes_per_s)
         trial.wait_for_changes()
         fail_nodes(trial, failing)
         orders = settled_orders(trial)
--- a/oatcart/scale/figures.py
+++ b/oatcart/scale/figures.py
@@ -10,13 +10,12 @@
 
 from hdrh.histogram import HdrHistogram
 
-from oatcart.scale.conductor_settings import NodeChanges
 from oatcart.scale.discovery import ClientFigures
 from oatcart.scale.hollow import HollowReading
 from oatcart.scale.measurement import Measurement
 from oatcart.scale.peers import TICK_S
 from oatcart.scale.real import NotReady
-from oatcart.scale.trial import DoesNotFit, Reading, Ready, Trial, TrialSettings, running
+from oatcart.scale.trial import DoesNotFit, Reading, Ready, Trial, TrialSettings, make_changes, running
 
 HOLLOW_ROLE, REAL_ROLE = "hollow_conductor", "conductor"
 DISCOVERY_ROLE, CONTROL_ROLE = "discovery", "control"
@@ -133,9 +132,7 @@
     if not settings.measure_under_changes:
         time.sleep(settings.quiet_s)
         after = [trial.read() for trial in trials]
-    for trial in trials:
-        changes = NodeChanges(trial.changed_nodes(), trial.settings.seed)
-        trial.make_changes(changes, settings.changes, settings.changes_per_s)
+    make_changes(trials, settings.changes, settings.changes_per_s)
     if settings.measure_under_changes:
         time.sleep(max(0.0, before[0].at + settings.quiet_s - time.monotonic()))
         after = [trial.read() for trial in trials]
--- a/oatcart/scale/trial.py
+++ b/oatcart/scale/trial.py
@@ -253,15 +253,8 @@
         """The nodes of which some are changed."""
         return list(self.plan.nodes)
 
-    def make_changes(self, changes: NodeChanges, count: int, per_s: float) -> None:
-        """Makes so many changes at a fixed rate; of several lists each change goes to its node's."""
-        first = time.monotonic()
-        for number in range(count):
-            time.sleep(max(0.0, first + number / per_s - time.monotonic()))
-            self.make_change(changes.next_entry(time.time()))
-
     def make_change(self, entry: dict) -> None:
-        """Changes one node's entry in its list."""
+        """Changes one node's entry in the list that the node is in."""
         name = entry["service"] if self.settings.lists_by_service else MAIN_LIST
         at = time.monotonic()
         self.made.append(MadeChange(at, name, self.discovery.change([entry], name), entry["id"]))
@@ -334,6 +327,16 @@
         return "\n".join(one.error_text() for one in self.real)
 
 
+def make_changes(trials: Sequence[Trial], count: int, per_s: float) -> None:
+    """Makes so many changes in each trial, side by side at a fixed rate."""
+    changes = [NodeChanges(trial.changed_nodes(), trial.settings.seed) for trial in trials]
+    first = time.monotonic()
+    for number in range(count):
+        time.sleep(max(0.0, first + number / per_s - time.monotonic()))
+        for trial, of_trial in zip(trials, changes, strict=True):
+            trial.make_change(of_trial.next_entry(time.time()))
+
+
 def first_holding(held: Sequence[HeldRevision], revision: int) -> float | None:
     """When a revision, or a newer one, was first had; None where it was not."""
     return next((one.at for one in held if one.revision >= revision), None)
--- a/tests/scale/test_scale_runs.py
+++ b/tests/scale/test_scale_runs.py
@@ -13,13 +13,12 @@
 
 from oatcart.scale import runs, trial
 from oatcart.scale.children import Interrupted
-from oatcart.scale.conductor_settings import NodeChanges
 from oatcart.scale.configuration import FleetSettings, LimitSettings, RunSettings, Settings
 from oatcart.scale.figures import Delays, Observed, Specification, measured, play, play_beside, summarised
 from oatcart.scale.hollow import HollowReading
 from oatcart.scale.measurement import Measurement
 from oatcart.scale.runs import measure, sizes_of
-from oatcart.scale.trial import DoesNotFit, TrialSettings, check_fits, running
+from oatcart.scale.trial import DoesNotFit, TrialSettings, check_fits, make_changes, running
 
 SMALL = TrialSettings(
     FleetSettings().scaled_to(40), seed=1, hollow=2, real=1, settle_s=0.1, quiet_s=0.3, changes=3
@@ -106,7 +105,7 @@
         before, after = one.read(), one.read()
         found = by_role(measured(one, Observed(before, after), "nodes", 40))
         assert found["hollow_conductor"].left_out is None
-        one.make_changes(NodeChanges(one.changed_nodes(), 1), 2, 20.0)
+        make_changes([one], 2, 20.0)
         monkeypatch.setattr(one.hollows, "figures", late(one.hollows.figures))
         found = by_role(measured(one, Observed(before, after), "nodes", 40))
     assert found["hollow_conductor"].left_out is None and found["hollow_conductor"].change_last_s is None
