Views: leases as an opt-in of the control role; a call for an undecided view is held open

Need: `alive.py` was used by nobody, so a conductor that is down kept its share of the nodes until it was taken out of the file. And a conductor started beside the control role got two 503 answers and was ready by its own backoff, after 2 s.

Change: - `leases` in the file, off by default. Each call for a view renews the conductor's lease, a watch as long as it stands. Who is silent for lease and grace leaves; who is back gets its view in that call, or 503. As control roles do not tell one another who called them, the file is refused unless `only_control_role: true` states that there is one. `leases.py` holds it, free of I/O. - A call for a view that is not decided is held open for `bounds.undecided_wait` (2 s, 3 s at the most, as a conductor gives it 4 s), woken by the decision, counted in `/v1/views`, bounded by `connections_each`. - Found on the way: views were meant to be published 32 in a turn of the loop, but what waits until `loop.now` runs in the same turn, so all went in one. They wait until the clock's time now. - The tests' stage has `undecided_wait` 0.3 s, as its callers read for 1 s; no assertion is changed.

--- a/oatcart/views/configuration.py
+++ b/oatcart/views/configuration.py
@@ -8,6 +8,7 @@
 from ruamel.yaml.comments import CommentedMap
 
 from oatcart.net.stream import Address
+from oatcart.views.alive import AliveSettings
 from oatcart.views.conductors import (
     Conductor,
     Group,
@@ -19,11 +20,13 @@
 )
 from oatcart.views.records import ViewLimits
 from oatcart.views.trust import Guard
-from oatcart.yaml_files import Wrong, load, name, size, span, table, whole
+from oatcart.yaml_files import Wrong, load, name, size, span, table, whole, yes_or_no
 
 __all__ = ["Bounds", "Configuration", "Conductor", "NodeFields", "Source", "Wrong", "read"]
 
 WAIT_MOST = 60.0  # s; the protocol's
+UNDECIDED_WAIT_MOST = 3.0  # s; a conductor gives a call that is no watch 4 s
+LEASE_LEAST = 1.0  # s; all leases are looked at twice in one
 SEED_MOST = 2**64 - 1
 DEFAULT_REGION = "default"
 
@@ -60,7 +63,8 @@
 
     `gather`: changes are gathered so long before watchers are woken; `unread_for`: an answer may stay unread
     with no progress; `request_within`: a stranger's first request; `idle_most`: a kept connection between two
-    requests; `connections`: open at once, all together; `connections_each`: at one conductor's address.
+    requests; `connections`: open at once, all together; `connections_each`: at one conductor's address;
+    `undecided_wait`: a call for a view that is not decided yet is held open at most.
     """
 
     gather: float = 0.2
@@ -69,10 +73,11 @@
     idle_most: float = 60.0
     connections: int = 4096
     connections_each: int = 4
+    undecided_wait: float = 2.0
 
 
 class Configuration(NamedTuple):
-    """What the control role is started with."""
+    """What the control role is started with. `leases`: None where all conductors count as alive."""
 
     listen: Address = ("127.0.0.1", 8600)
     source: Source = Source()
@@ -82,6 +87,7 @@
     seed: int = 0
     bounds: Bounds = Bounds()
     conductors: tuple[Conductor, ...] = ()
+    leases: AliveSettings | None = None
 
 
 def _factor(value: object) -> float:
@@ -115,6 +121,20 @@
     return wait
 
 
+def _undecided_wait(value: object) -> float:
+    wait = span(value)
+    if wait > UNDECIDED_WAIT_MOST:
+        raise ValueError(f"{value} is longer than 3s; a conductor ends its call after 4s")
+    return wait
+
+
+def _lease(value: object) -> float:
+    lease = span(value)
+    if lease < LEASE_LEAST:
+        raise ValueError(f"{value} is shorter than 1s")
+    return lease
+
+
 SOURCE_KEYS = {
     "address": numeric_address,
     "wait": _wait,
@@ -143,6 +163,16 @@
     "idle_most": span,
     "connections": whole(1, 100_000),
     "connections_each": whole(1, 64),
+    "undecided_wait": _undecided_wait,
+}
+LEASE_KEYS = {
+    "enabled": yes_or_no,
+    "only_control_role": yes_or_no,
+    "lease": _lease,
+    "grace": span,
+    "hold": span,
+    "doubt_share": _share,
+    "doubt_least": whole(1, 1_000_000),
 }
 KEYS = {
     "listen": numeric_address,
@@ -154,6 +184,7 @@
     "guard": None,
     "views": None,
     "bounds": None,
+    "leases": None,
     "conductors_file": name,
     "conductors": None,
 }
@@ -175,6 +206,7 @@
         source = self._part(told, top, "source", SOURCE_KEYS)
         guard = self._part(told, top, "guard", GUARD_KEYS)
         bounds = self._part(told, top, "bounds", BOUND_KEYS)
+        leases = self._leases(told, top)
         seed = views.pop("seed", 0)
         conductors = self._conductors(told, top, nodes)
         return Configuration(
@@ -186,6 +218,7 @@
             seed,
             Bounds(**bounds),
             conductors,
+            leases,
         )
 
     def _part(self, told: CommentedMap, top: dict, key: str, fields: dict) -> dict:
@@ -193,6 +226,21 @@
             return {}
         return table(top[key], fields, f"{key}.", self.where, self.wrong, told.lc.key(key)[0])
 
+    def _leases(self, told: CommentedMap, top: dict) -> AliveSettings | None:
+        """Leases are refused unless the file says that no other control role serves these conductors."""
+        leases = self._part(told, top, "leases", LEASE_KEYS)
+        is_enabled = leases.pop("enabled", False)
+        is_only_control_role = leases.pop("only_control_role", False)
+        if not is_enabled:
+            return None
+        if not is_only_control_role:
+            here = self.where(top["leases"].lc.key("enabled")[0])
+            self.wrong.append(
+                f"{here}: leases.enabled: control roles do not tell one another who called them, so their "
+                "views would differ; where this one alone serves its conductors, add only_control_role: true"
+            )
+        return AliveSettings(**leases)
+
     def _regions(self, told: CommentedMap, top: dict) -> dict[str, str]:
         """Zones by region in the file, regions by zone here."""
         found: dict[str, str] = {}
--- a/oatcart/views/publisher.py
+++ b/oatcart/views/publisher.py
@@ -6,7 +6,7 @@
 asks.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from oatcart.views.configuration import Conductor, Configuration, NodeFields
 from oatcart.views.deciding import Update, View
@@ -36,6 +36,7 @@
         self.histories: dict[str, History] = {}
         self.changed: set[str] = set()  # views that may be different from their histories
         self.viewers = _viewers(configuration.conductors)
+        self.silent: set[str] = set()  # conductors that do not count as alive: nothing is decided for them
 
     def configure(self, configuration: Configuration) -> None:
         """Another configuration. Views that stay the same get no new revision."""
@@ -43,13 +44,25 @@
         viewers = _viewers(configuration.conductors)
         gone = self.viewers.keys() - viewers.keys()
         self.viewers = viewers
-        for name in gone:
-            self.views.pop(name, None)
-            self.histories.pop(name, None)
+        self.silent &= viewers.keys()
+        self._forget(gone)
         if _bases(configuration) != _bases(old):
             self._decide_anew()
         elif self.entries:
-            self.decide(Update(viewers=[*viewers.values()], gone=gone))
+            self.decide(Update(viewers=self._alive(), gone=gone))
+
+    def leave(self, names: Collection[str]) -> None:
+        """These conductors no longer count as alive: their shares of the nodes go to others."""
+        self.silent.update(names)
+        self._forget(names)
+        if self.entries:
+            self.decide(Update(gone=names))
+
+    def come_back(self, name: str) -> None:
+        """A conductor counts as alive again; its view is decided anew."""
+        self.silent.discard(name)
+        if self.entries:
+            self.decide(Update(viewers=[self.viewers[name]]))
 
     def take(self, outcome: Outcome) -> None:
         """What has changed of the list; `publish` makes it known. Nothing is decided before the first list: a
@@ -71,7 +84,7 @@
     def decided(self, views: Mapping[str, View]) -> None:
         """Views as decided from now on; `publish` makes them known."""
         for name, view in views.items():
-            if name in self.viewers:
+            if name in self.viewers and name not in self.silent:
                 self.views[name] = view
                 self.changed.add(name)
 
@@ -107,6 +120,14 @@
         """The views that cannot be decided, and why."""
         return {name: str(view) for name, view in self.views.items() if isinstance(view, ViewError)}
 
+    def _alive(self) -> list[Viewer]:
+        return [viewer for name, viewer in self.viewers.items() if name not in self.silent]
+
+    def _forget(self, names: Iterable[str]) -> None:
+        for name in names:
+            self.views.pop(name, None)
+            self.histories.pop(name, None)
+
     def _members(self, view: tuple[str, ...]) -> dict[str, Entry]:
         return {node: self.entries[node] for node in view if node in self.entries}
 
@@ -116,7 +137,7 @@
         self.decide(
             Update(
                 members=[member(entry, self.configuration.nodes) for entry in self.entries.values()],
-                viewers=[*self.viewers.values()],
+                viewers=self._alive(),
                 limits=self.configuration.limits,
                 seed=self.configuration.seed,
             )
--- a/oatcart/views/role.py
+++ b/oatcart/views/role.py
@@ -1,7 +1,7 @@
 """A whole control role: the follower, the publisher, the server and reloads, on one event loop."""
 
 import time
-from collections.abc import Generator, Mapping
+from collections.abc import Generator, Iterable, Mapping
 from itertools import islice
 from math import inf
 from pathlib import Path
@@ -17,6 +17,7 @@
 from oatcart.views.configuration import Conductor, Configuration, Wrong, read
 from oatcart.views.deciding import DecidingThread, View
 from oatcart.views.follower import Follower
+from oatcart.views.leases import Leases, Silence
 from oatcart.views.publisher import Publisher
 from oatcart.views.revisions import Revisions
 from oatcart.views.server import Listener, Server
@@ -24,7 +25,8 @@
 
 SLICE = 32  # views that are brought up to date in one turn of the loop
 TELL_EVERY = 30.0  # s between the log's lines on how this process keeps up
-STARTED_ONCE = "listen", "bounds"  # what only a restart changes
+NAMES_SHOWN = 5  # of conductors in one line of the log
+STARTED_ONCE = "listen", "bounds", "leases"  # what only a restart changes
 
 
 class ListenKey(NamedTuple):
@@ -43,6 +45,16 @@
     }
 
 
+def _shown(names: Iterable[str]) -> str:
+    """
+    >>> _shown(["a", "b"]), _shown("abcdefg")
+    ('2 conductors (a, b)', '7 conductors (a, b, c, d, e, ...)')
+    """
+    names = sorted(names)
+    more = ", ..." if len(names) > NAMES_SHOWN else ""
+    return f"{len(names)} conductors ({', '.join(names[:NAMES_SHOWN])}{more})"
+
+
 class ControlRole:
     """Follows the list of nodes and serves each conductor its view. `start` raises OSError."""
 
@@ -55,7 +67,10 @@
         self.follower = Follower(
             self.loop, self.log, configuration.source, self.trusted, chance.uniform, self._taken
         )
-        self.server = Server(self.loop, self.log, self.publisher, configuration.bounds, self.status)
+        self.server = Server(
+            self.loop, self.log, self.publisher, configuration.bounds, self.status, self._called
+        )
+        self.leases: Leases | None = None  # all conductors of the file count as alive
         self.listeners: dict[ListenKey, Listener] = {}  # of conductors
         self.publishing = False  # a task gathers changes or brings views up to date
         self.failure: Exception | None = None  # of bringing views up to date
@@ -71,6 +86,9 @@
                 *self.main.address, len(self.listeners)
             ),
         )
+        if self.configuration.leases is not None:
+            self.leases = Leases(self.configuration.leases, self.publisher.viewers, self.loop.now)
+            self._check_leases_later()
         self.deciding.start()
         self.follower.start()
         self._keep_telling()
@@ -117,6 +135,8 @@
         except OSError as error:
             raise Unusable(error.strerror) from None
         self.publisher.configure(new)
+        if self.leases is not None:
+            self.leases.configure(self.publisher.viewers, self.loop.now)
         gone = [key for key in self.listeners if key not in wanted]
         for key in gone:
             self.server.unlisten(self.listeners.pop(key))
@@ -126,6 +146,7 @@
         self.configuration, self.trusted.guard = new, new.guard
         self.follower.move(new.source)
         self.server.wake([*self.server.waiting])  # a view that is gone is refused at once
+        self.server.wake_undecided([*self.server.undecided])
         self._publish_soon()
         kept = [key for key in STARTED_ONCE if getattr(new, key) != getattr(old, key)]
         restart = f"; only a restart changes {', '.join(kept)}" if kept else ""
@@ -145,6 +166,12 @@
                 },
                 "conductors": len(self.publisher.viewers),
                 "connections": len(self.server.lives),
+                "leases": self._lease_status(),
+                "undecided_calls": {
+                    "held": sum(map(len, self.server.undecided.values())),
+                    "answered": self.server.undecided_calls.answered,
+                    "refused": self.server.undecided_calls.refused,
+                },
                 "views": {
                     name: {
                         "nodes": len(history.members),
@@ -189,6 +216,56 @@
     def _decided(self, views: Mapping[str, View]) -> None:
         self.publisher.decided(views)
         self._publish_soon()
+        if held := [name for name in views if self.server.undecided.get(name)]:
+            self.loop.spawn(self._answer_undecided(held))
+
+    def _answer_undecided(self, names: list[str]) -> Generator[Wait, bool, None]:
+        """Answer the calls that are held open for these views, some views in a turn of the loop."""
+        for start in range(0, len(names), SLICE):
+            self.server.wake_undecided(names[start : start + SLICE])
+            yield self._next_turn()
+
+    def _next_turn(self) -> Wait:
+        """A time after this turn's: what is due by `loop.now` is run in the same turn."""
+        return Wait(until=self.loop.clock())
+
+    def _called(self, name: str) -> None:
+        if self.leases is not None and self.leases.renew(name, self.loop.now):
+            self.publisher.come_back(name)
+            self.log.say("leases", f"{name} is back; its view is decided anew")
+
+    def _check_leases_later(self) -> None:
+        self.loop.at(self.loop.now + self.leases.check_every, self._check_leases)
+
+    def _check_leases(self) -> None:
+        """A call that stands renews its lease as well."""
+        for calls in self.server.waiting, self.server.undecided:
+            for name in [name for name, streams in calls.items() if streams]:
+                self._called(name)
+        silence = self.leases.check(self.loop.now)
+        if silence.left:
+            self.publisher.leave(silence.left)
+        self._tell_silence(silence)
+        self._check_leases_later()
+
+    def _tell_silence(self, silence: Silence) -> None:
+        if silence.left:
+            self.log.say(
+                "leases",
+                f"{_shown(silence.left)} silent for longer than lease and grace; "
+                "others get their shares of the nodes",
+            )
+        if silence.is_new_doubt:
+            self.log.say(
+                "leases",
+                f"{_shown(silence.doubted)} silent for longer than lease and grace, "
+                "too many at once; they stay for the hold",
+            )
+
+    def _lease_status(self) -> dict[str, object] | None:
+        if self.leases is None:
+            return None
+        return {"silent": sorted(self.leases.silent), "doubted": len(self.leases.doubted)}
 
     def _publish_soon(self) -> None:
         if not self.publishing:
@@ -201,7 +278,7 @@
             yield Wait(until=self.loop.now + self.configuration.bounds.gather)
             while self.publisher.changed:
                 self.server.wake(self.publisher.publish([*islice(self.publisher.changed, SLICE)]))
-                yield Wait(until=self.loop.now)
+                yield self._next_turn()
         except Exception as error:
             self.failure = error
             raise
--- a/oatcart/views/server.py
+++ b/oatcart/views/server.py
@@ -9,6 +9,7 @@
 import errno
 import socket
 from collections.abc import Callable, Generator, Iterable
+from dataclasses import dataclass
 
 import h11
 
@@ -17,7 +18,8 @@
 from oatcart.net.loop import IN, Loop, Task, Wait
 from oatcart.net.stream import MESSAGE_MOST, Address, Stream
 from oatcart.views.configuration import Bounds
-from oatcart.views.publisher import Publisher
+from oatcart.views.history import History
+from oatcart.views.publisher import NotDecided, Publisher
 from oatcart.views.records import UnknownViewer, ViewError
 from oatcart.views.requests import (
     BAD_REQUEST,
@@ -39,6 +41,15 @@
 RETRY_AFTER = b"1"  # s; a hint for those that are answered with 503
 
 
+@dataclass
+class UndecidedCalls:
+    """How many calls for a view that was not decided yet were answered with it in the end, and how many with
+    503 when their time was over."""
+
+    answered: int = 0
+    refused: int = 0
+
+
 class Listener:
     """An address that is listened at. `view`: the conductor's whose it is, None for the main one."""
 
@@ -54,17 +65,27 @@
 
 
 class Server:
-    """Serves the histories of a publisher. `status`: what `GET /v1/views` answers."""
+    """Serves the histories of a publisher. `status`: what `GET /v1/views` answers. `called` is told the name
+    in each call for a view."""
 
     def __init__(
-        self, loop: Loop, log: Log, publisher: Publisher, bounds: Bounds, status: Callable[[], bytes]
+        self,
+        loop: Loop,
+        log: Log,
+        publisher: Publisher,
+        bounds: Bounds,
+        status: Callable[[], bytes],
+        called: Callable[[str], None] = lambda name: None,
     ) -> None:
         self.loop, self.log, self.publisher, self.bounds, self.status = loop, log, publisher, bounds, status
+        self.called = called
         self.lives: dict[Stream, Task] = {}  # of all connections
         self.strangers: dict[Stream, None] = {}  # that have asked for nothing yet, oldest first
         self.view_of: dict[Stream, str] = {}  # what a connection asked for last
         self.by_view: dict[str, dict[Stream, None]] = {}  # that have asked for a view, oldest first
         self.waiting: dict[str, dict[Stream, None]] = {}  # whose watch of a view stands
+        self.undecided: dict[str, dict[Stream, None]] = {}  # held open until their view is decided
+        self.undecided_calls = UndecidedCalls()
 
     def listen(self, address: Address, view: str | None = None) -> Listener:
         """Listen at an address; raises OSError."""
@@ -96,7 +117,16 @@
     def wake(self, names: Iterable[str]) -> None:
         """Have the watches of these views look for what is new."""
         for name in names:
-            for stream in [*self.waiting.get(name, ())]:
+            self._wake(self.waiting.get(name, ()))
+
+    def wake_undecided(self, names: Iterable[str]) -> None:
+        """Have the calls that are held open for these views look whether they are decided."""
+        for name in names:
+            self._wake(self.undecided.get(name, ()))
+
+    def _wake(self, streams: Iterable[Stream]) -> None:
+        for stream in [*streams]:
+            if stream in self.lives:
                 self.loop.expire(self.lives[stream])
 
     def _accept(self, listener: Listener) -> Generator[Wait, bool, None]:
@@ -204,14 +234,10 @@
     def _list(self, stream: Stream, http: h11.Connection, call: ListRequest) -> Generator[Wait, bool, bytes]:
         """The body that answers a call for a view; a watch waits here until there is news or its time is
         over."""
+        self.called(call.view)
         until = self.loop.now + call.wait
         while True:
-            try:
-                history = self.publisher.history(call.view)
-            except UnknownViewer as error:
-                raise RefusedRequest(NOT_FOUND, "unknown view", str(error)) from None
-            except ViewError as error:
-                raise RefusedRequest(UNAVAILABLE, f"no view for {call.view}", str(error)) from None
+            history = yield from self._history(stream, http, call.view)
             self._use(stream, call.view)
             if call.since is None:
                 return history.whole()
@@ -220,13 +246,36 @@
                 return body
             if self.loop.now >= until:
                 return history.nothing()
-            yield from self._wait(stream, http, call.view, until)
+            yield from self._wait(stream, http, self.waiting.setdefault(call.view, {}), until)
+
+    def _history(self, stream: Stream, http: h11.Connection, view: str) -> Generator[Wait, bool, History]:
+        """The history of a view; a call for one that is not decided yet is held open for a bounded time."""
+        until = self.loop.now + self.bounds.undecided_wait
+        is_held = False
+        while True:
+            try:
+                history = self.publisher.history(view)
+            except UnknownViewer as error:
+                raise RefusedRequest(NOT_FOUND, "unknown view", str(error)) from None
+            except NotDecided as error:
+                if self.loop.now >= until:
+                    self.undecided_calls.refused += 1
+                    raise RefusedRequest(UNAVAILABLE, f"no view for {view}", str(error)) from None
+            except ViewError as error:
+                raise RefusedRequest(UNAVAILABLE, f"no view for {view}", str(error)) from None
+            else:
+                self.undecided_calls.answered += is_held
+                return history
+            is_held = True
+            self._use(stream, view)
+            yield from self._wait(stream, http, self.undecided.setdefault(view, {}), until)
 
     def _wait(
-        self, stream: Stream, http: h11.Connection, view: str, until: float
+        self, stream: Stream, http: h11.Connection, waiting: dict[Stream, None], until: float
     ) -> Generator[Wait, bool, None]:
-        """Until the view has changed, the time is over, or the other side says something."""
-        self.waiting.setdefault(view, {})[stream] = None
+        """Until `wake` or `wake_undecided`, the time is over, or the other side says something. Meanwhile the
+        connection is in `waiting`."""
+        waiting[stream] = None
         try:
             part = yield from stream.some(until)
         except Ended as ended:
@@ -234,7 +283,7 @@
                 raise
             return
         finally:
-            self.waiting[view].pop(stream)
+            waiting.pop(stream)
         if not part:
             raise Ended(Ending.CLOSED)
         http.receive_data(part)  # a further request, sent ahead
--- a/tests/views/views_stage.py
+++ b/tests/views/views_stage.py
@@ -20,7 +20,7 @@
 
 WITHIN = 8.0  # s of real time until something must have come; a met want ends the wait
 ANY_PORT = ("127.0.0.1", 0)
-BOUNDS, GUARD = Bounds(gather=0.02), Guard(hold=0.3)
+BOUNDS, GUARD = Bounds(gather=0.02, undecided_wait=0.3), Guard(hold=0.3)
 SOON = Source(wait=1.0, answer_within=1.0, retry_most=0.1, reconcile_every=60.0)
 
 
