--- a/oatcart/scale/__main__.py
+++ b/oatcart/scale/__main__.py
@@ -14,7 +14,7 @@
 from oatcart.scale.troubles import DayPlan, TroublesError, plan_day
 
 FAILED = 1
-"""Exit code where a run has failed; nothing is kept of it."""
+"""Exit code where a run has failed, of which nothing is kept, or where something of a day did not hold."""
 
 UNUSABLE = 2
 """Exit code where a file or an argument cannot be used."""
@@ -72,6 +72,31 @@
     return 0
 
 
+def day(settings: Settings, parsed: argparse.Namespace) -> int:
+    """Plays the fleet's day, scaled to this machine, and prints what it cost and whether all held."""
+    if parsed.json and not Path(parsed.json).parent.is_dir():
+        print(f"{parsed.json}: there is no such folder", file=sys.stderr)
+        return UNUSABLE
+    from oatcart.scale.children import ChildError
+    from oatcart.scale.day import FULL, QUICK, play_day
+    from oatcart.scale.day_report import day_json, day_text
+    from oatcart.scale.real import NotReady
+    from oatcart.scale.trial import DoesNotFit
+
+    try:
+        result = play_day(settings, QUICK if parsed.quick else FULL, parsed.whole_list, report_progress)
+    except TroublesError as error:
+        print(f"{parsed.file}: day: {error}", file=sys.stderr)
+        return UNUSABLE
+    except (ChildError, NotReady, DoesNotFit) as error:
+        print(f"the day has failed: {error}", file=sys.stderr)
+        return FAILED
+    print(day_text(result))
+    if parsed.json:
+        Path(parsed.json).write_text(day_json(result) + "\n", encoding="utf-8")
+    return FAILED if result.complaints else 0
+
+
 def report_progress(line: str) -> None:
     """A line of progress, on standard error."""
     print(line, file=sys.stderr, flush=True)
@@ -116,6 +141,14 @@
     plan_parser = commands.add_parser("plan", help=plan.__doc__, description=plan.__doc__)
     plan_parser.add_argument("file", help="the settings, as deploy/scale.yaml")
     plan_parser.set_defaults(command=plan)
+    day_parser = commands.add_parser("day", help=day.__doc__, description=day.__doc__)
+    day_parser.add_argument("file", help="the settings, as deploy/scale.yaml")
+    day_parser.add_argument("--quick", action="store_true", help="a smaller fleet and a shorter day")
+    day_parser.add_argument(
+        "--whole-list", action="store_true", help="conductors on the whole list, without the control role"
+    )
+    day_parser.add_argument("--json", metavar="PATH", help="keeps the figures")
+    day_parser.set_defaults(command=day)
     return parser
 
 
--- /dev/null
+++ b/oatcart/scale/day_relay.py
@@ -0,0 +1,178 @@
+"""The counting relay of a played day: it also notes the content of what each conductor was told, and cuts
+conductors off.
+
+Unlike the relay of a trial it notes every node, and of every node the fields that a change of the day
+changes, so that each word to a conductor can be matched to the one change that it tells of. A conductor that
+is cut off has its connections reset, and every new one too, until it is joined again.
+
+The process (`python -m oatcart.scale.day_relay`) takes commands as in `children.py`.
+"""
+
+import asyncio
+import sys
+from collections.abc import Collection, Mapping
+from typing import NamedTuple
+from weakref import WeakSet
+
+import orjson
+
+from oatcart.scale.children import Child, CommandReader, ignore_interrupts
+from oatcart.scale.discovery import DELETED
+from oatcart.scale.view_relay import ConductorSide, RelayedClient, RelayService, ViewRelay
+
+
+class EntryState(NamedTuple):
+    """The fields of a node's entry that the day changes."""
+
+    phase: str
+    address: str
+    size: float
+    up_since_ms: int
+
+
+class Word(NamedTuple):
+    """At a moment (monotonic seconds) a conductor had this state of a node; None: the node left its list."""
+
+    at: float
+    node: str
+    state: EntryState | None
+
+
+def entry_state(entry: Mapping) -> EntryState:
+    """The state that an entry tells."""
+    return EntryState(
+        entry["phase"], entry.get("host_port", ""), entry.get("size", 0.0), entry.get("up_since_ms", 0)
+    )
+
+
+class DayClient(RelayedClient):
+    """One conductor and the states of the nodes in its list."""
+
+    def __init__(self, target_port: int) -> None:
+        super().__init__(target_port)
+        self.revision = 0
+        self.states: dict[str, EntryState] = {}
+
+    def take(self, body: bytes, tracked: Collection[str]) -> list[tuple[str, EntryState | None]]:
+        """The nodes whose state is another than told before, and their states; every node counts as tracked.
+
+        An answer that is older than the last one, as two connections overtake each other, tells nothing; a
+        conductor takes it so too.
+        """
+        try:
+            answer = orjson.loads(body)
+            states = {entry["id"]: entry_state(entry) for entry in answer["members"]}
+            revision, complete = answer["revision"], answer["complete"]
+        except (KeyError, TypeError, orjson.JSONDecodeError):
+            return []
+        if revision < self.revision:
+            return []
+        self.revision = revision
+        gone = self.states.keys() - states.keys() if complete else set()
+        gone |= {node for node, state in states.items() if state.phase == DELETED}
+        told = {node: state for node, state in states.items() if state.phase != DELETED}
+        news = [(node, state) for node, state in told.items() if self.states.get(node) != state]
+        self.states.update(told)
+        for node in gone:  # some may be told gone that were never told: they came and went meanwhile
+            self.states.pop(node, None)
+        self.members = set(self.states)
+        return [*news, *((node, None) for node in sorted(gone))]
+
+
+class DayRelayService(RelayService):
+    """All conductors behind the relay; `cut`, `join` and `views` are commands too."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.sides: WeakSet[ConductorSide] = WeakSet()
+        self.cut_off: set[str] = set()
+
+    def begin(self, conductor: ConductorSide) -> None:
+        """Connects to what stands behind, unless the conductor is cut off."""
+        if any(self.clients[name] is conductor.client for name in self.cut_off):
+            conductor.transport.abort()
+            return
+        self.sides.add(conductor)
+        super().begin(conductor)
+
+    def cut(self, names: list[str]) -> dict:
+        """Resets the connections of these conductors, and from now on every new one."""
+        self.cut_off.update(names)
+        clients = {id(self.clients[name]) for name in names}
+        for side in [*self.sides]:
+            if id(side.client) in clients:
+                side.transport.abort()
+        return {}
+
+    def join(self, names: list[str]) -> dict:
+        """Lets these conductors connect again."""
+        self.cut_off.difference_update(names)
+        return {}
+
+    def views(self) -> dict:
+        """The list that each conductor was told, and how many words were not yet asked on from."""
+        pending = sum(len(side.news) for side in self.sides)
+        return {"views": {name: one.states for name, one in self.clients.items()}, "pending": pending}
+
+    def _open(self, name: str, target_port: int) -> int:
+        self.clients.setdefault(name, DayClient(target_port))
+        return super()._open(name, target_port)
+
+
+class ToldViews(NamedTuple):
+    """The list that each conductor was told, by its name; `pending` words were not yet asked on from."""
+
+    views: dict[str, dict[str, EntryState]]
+    pending: int
+
+
+class DayRelay(ViewRelay):
+    """The parent's side of the process."""
+
+    def __init__(self) -> None:
+        Child.__init__(self, "oatcart.scale.day_relay")
+
+    def cut(self, names: Collection[str]) -> None:
+        """Cuts these conductors off from their list."""
+        self.ask("cut", names=list(names))
+
+    def join(self, names: Collection[str]) -> None:
+        """Ends a cut."""
+        self.ask("join", names=list(names))
+
+    def views(self) -> ToldViews:
+        """The list that each conductor was told."""
+        answer = self.ask("views")
+        views = {
+            name: {node: EntryState(*state) for node, state in states.items()}
+            for name, states in answer["views"].items()
+        }
+        return ToldViews(views, answer["pending"])
+
+    def words(self) -> dict[str, list[Word]]:
+        """All that each conductor was told since its start, in order of time."""
+        told = self.ask("held")["told"]
+        return {
+            name: [Word(at, node, state and EntryState(*state)) for at, (node, state) in some]
+            for name, some in told.items()
+        }
+
+
+async def serve() -> None:
+    """The life of the process: until its input ends."""
+    service = DayRelayService(asyncio.get_running_loop())
+    ended = asyncio.Event()
+    commands = "open", "members", "figures", "held", "cut", "join", "views"
+    reader = CommandReader({name: getattr(service, name) for name in commands})
+
+    def read_commands() -> None:
+        if not reader.read():
+            ended.set()
+
+    asyncio.get_running_loop().add_reader(sys.stdin.fileno(), read_commands)
+    await ended.wait()
+
+
+if __name__ == "__main__":
+    ignore_interrupts()
+    asyncio.run(serve())
--- /dev/null
+++ b/oatcart/scale/day_schedule.py
@@ -0,0 +1,172 @@
+"""From the events of a drawn day to the changes of the list of nodes that play them.
+
+Only the gaps between events are compressed. Two spans are not: a drained node stays on the list for at
+least `least_drain_s` real seconds, and a cut between regions lasts at least `least_cut_s`. Where that moves
+an event of a node behind its next one, the later ones of that node are moved too.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from itertools import groupby
+from typing import NamedTuple
+
+from oatcart.scale.conductor_settings import DRAINING, MILLISECONDS, SERVING, list_entry
+from oatcart.scale.discovery import DELETED
+from oatcart.scale.fleet import FleetPlan, PlannedNode
+from oatcart.scale.troubles import (
+    Cause,
+    ConfigurationChanged,
+    Event,
+    NodeDeleted,
+    NodeDraining,
+    NodeLost,
+    NodeReturned,
+    RegionsCut,
+    RegionsRejoined,
+)
+
+SIZE_STEP = 0.01  # by which a change of configuration makes a node's size larger
+ADDRESS_EVERY = (
+    2  # of so many changes of a node's configuration one is of its address, the others of its size
+)
+
+
+class Kind(Enum):
+    """The kinds of changes, as they are reported."""
+
+    FAILURE = "node failed"
+    RACK_LOSS = "rack lost"
+    ZONE_LOSS = "zone lost"
+    DRAIN = "node drains"
+    DELETE = "drained node deleted"
+    RETURN = "node back"
+    CONFIGURATION = "configuration"
+
+
+KIND_OF_LOSS = {
+    Cause.FAILURE: Kind.FAILURE,
+    Cause.RACK_LOSS: Kind.RACK_LOSS,
+    Cause.ZONE_LOSS: Kind.ZONE_LOSS,
+}
+
+
+class Step(NamedTuple):
+    """Events of one type that happen at once, at seconds from the day's start."""
+
+    at_s: float
+    events: tuple[Event, ...]
+
+
+class Change(NamedTuple):
+    """One revision of the list, made at a moment (monotonic seconds): the entries that it sets."""
+
+    at: float
+    kind: Kind
+    entries: tuple[dict, ...]
+
+
+def schedule(events: Iterable[Event], least_drain_s: float, least_cut_s: float) -> list[Step]:
+    """The day's events in the order in which they are played; those of one cause and moment together."""
+    placed = sorted(_placed(events, least_drain_s, least_cut_s), key=lambda one: one[0])
+    return [
+        Step(at_s, tuple(event for _, event in some))
+        for (at_s, *_), some in groupby(placed, key=lambda one: (one[0], type(one[1]), _cause(one[1])))
+    ]
+
+
+def _cause(event: Event) -> Cause | int | None:
+    return event.number if isinstance(event, ConfigurationChanged) else getattr(event, "cause", None)
+
+
+def _placed(
+    events: Iterable[Event], least_drain_s: float, least_cut_s: float
+) -> Iterable[tuple[float, Event]]:
+    last: dict[str, float] = {}  # by node or pair of regions, when its last event is played
+    moved: dict[str, float] = {}  # and how much later than drawn
+    for event in events:
+        at_s = event.at_s
+        if not isinstance(event, ConfigurationChanged):
+            subject = getattr(event, "node", None) or f"{event.first} {event.second}"
+            least = {NodeDeleted: least_drain_s, RegionsRejoined: least_cut_s}.get(type(event), 0.0)
+            if isinstance(event, NodeDeleted | NodeReturned):
+                at_s += moved.get(subject, 0.0)
+            if subject in last:
+                at_s = max(at_s, last[subject] + least)
+            last[subject], moved[subject] = at_s, at_s - event.at_s
+        yield at_s, event
+
+
+@dataclass
+class NodeState:
+    """A node as the list has it; `configured` counts the changes of its configuration."""
+
+    node: PlannedNode
+    phase: str = SERVING
+    up_since_ms: int = 0
+    configured: int = 0
+
+    def entry(self) -> dict:
+        """The entry; no two changes of a node have the same, so that each can be told apart."""
+        host, _, port = self.node.address.rpartition(":")
+        readdressed = self.configured // ADDRESS_EVERY
+        resized = self.configured - readdressed
+        return list_entry(self.node, self.phase, self.up_since_ms) | {
+            "host_port": f"{host}:{int(port) + readdressed}",
+            "size": round(self.node.size + SIZE_STEP * resized, 2),
+        }
+
+
+class ListedNodes:
+    """All nodes of a fleet as the list has them, changed by events."""
+
+    def __init__(self, plan: FleetPlan) -> None:
+        self.states = {node.id: NodeState(node) for node in plan.nodes}
+        self.by_service: Mapping[str, list[PlannedNode]] = plan.nodes_by_service()
+        self.service_count = len(plan.services)
+
+    def entries(self) -> list[dict]:
+        """The whole list."""
+        return [state.entry() for state in self.states.values() if state.phase != DELETED]
+
+    def change(self, events: tuple[Event, ...], unix_s: float) -> list[dict]:
+        """The entries that events of one step set, at a Unix time in seconds."""
+        return [entry for event in events for entry in self._change(event, unix_s)]
+
+    def _change(self, event: Event, unix_s: float) -> list[dict]:
+        if isinstance(event, ConfigurationChanged):
+            return self._configure(event)
+        state = self.states[event.node]
+        if isinstance(event, NodeDraining):
+            state.phase = DRAINING
+        elif isinstance(event, NodeReturned):
+            state.phase, state.up_since_ms = SERVING, round(unix_s * MILLISECONDS)
+        else:
+            state.phase = DELETED
+        return [state.entry()]
+
+    def _configure(self, event: ConfigurationChanged) -> list[dict]:
+        """A change to a route is one to a node of its service; none where all nodes of it are away."""
+        nodes = [node for node in self.by_service[event.service] if self.states[node.id].phase != DELETED]
+        if not nodes:
+            return []
+        state = self.states[nodes[event.route // self.service_count % len(nodes)].id]
+        state.configured += 1
+        return [state.entry()]
+
+
+def kind_of(event: Event) -> Kind:
+    """How a change of the list by this event is reported."""
+    if isinstance(event, NodeLost):
+        return KIND_OF_LOSS[event.cause]
+    return {
+        NodeDraining: Kind.DRAIN,
+        NodeDeleted: Kind.DELETE,
+        NodeReturned: Kind.RETURN,
+        ConfigurationChanged: Kind.CONFIGURATION,
+    }[type(event)]
+
+
+def is_cut(event: Event) -> bool:
+    """Whether an event is of regions and not of nodes."""
+    return isinstance(event, RegionsCut | RegionsRejoined)
--- /dev/null
+++ b/oatcart/scale/day_trial.py
@@ -0,0 +1,284 @@
+"""The processes that a day is played on, and the player that makes its changes.
+
+The stand-ins are those of a trial behind the control role; the relay notes all that conductors are told. As a
+second way conductors follow the whole list, through the same relay and without a control role.
+
+Two regions cut from each other, with one discovery and one control role: the control role is taken to be in
+the one region, and the conductors of the other get no answers from it until the regions are joined. They keep
+their last list and go on. Which of the two regions it is: the one with more conductors. The control role
+itself reaches discovery all the time, so that the list goes on changing. Before a cut and after it the day
+waits until all conductors have their views, so that what moved meanwhile can be counted exactly.
+"""
+
+import time
+from collections.abc import Callable, Sequence
+from contextlib import ExitStack
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import NamedTuple
+
+import orjson
+
+from oatcart.scale.day_deliveries import Cut
+from oatcart.scale.day_relay import DayRelay
+from oatcart.scale.day_schedule import Change, ListedNodes, Step, is_cut, kind_of
+from oatcart.scale.day_views import UNBOUNDED, ExpectedViews
+from oatcart.scale.discovery import ClientFigures
+from oatcart.scale.fleet import FleetPlan
+from oatcart.scale.hollow import HeldTables
+from oatcart.scale.real import NotReady
+from oatcart.scale.trial import LOOK_EVERY_S, Trial, TrialSettings
+from oatcart.scale.troubles import Event, RegionsCut
+from oatcart.scale.view_trial import ViewTrial
+from oatcart.views.configuration import Configuration
+from oatcart.views.configuration import read as read_views
+from oatcart.views.records import Viewer
+
+SAMPLE_EVERY_S = 1.0
+SETTLED_WITHIN_S = 15.0  # until all conductors have their views, when no changes are made
+
+
+class Sample(NamedTuple):
+    """Counters at a moment (monotonic seconds); processor seconds of processes, traffic of conductors."""
+
+    at: float
+    control_core_s: float
+    hollow_core_s: float
+    real_core_s: list[float]
+    clients: dict[str, ClientFigures]
+    source: dict[str, ClientFigures]
+
+
+class Healing(NamedTuple):
+    """A cut between regions as it was played.
+
+    `caught_up_s`: real seconds from the joining until the last conductor had its view; None: it never had.
+    `bytes_received` by all conductors that were cut off until then. `moved`: nodes that came to or left their
+    views, `had_to_move`: those that the changes made meanwhile account for, `moved_needlessly` all others.
+    """
+
+    first: str
+    second: str
+    region: str
+    cut: Cut
+    changes: int
+    caught_up_s: float | None
+    bytes_received: int
+    moved: int
+    had_to_move: int
+    moved_needlessly: int
+
+
+class CutBegun(NamedTuple):
+    """A cut that has not ended: by conductor the nodes it was told of and ought to have had, its traffic."""
+
+    cut: Cut
+    region: str
+    told: dict[str, frozenset[str]]
+    expected: dict[str, frozenset[str]]
+    traffic: dict[str, ClientFigures]
+    changes: int
+
+
+class DayTrial(ViewTrial):
+    """A day behind the control role."""
+
+    def __init__(self, settings: TrialSettings, plan: FleetPlan, processes: ExitStack) -> None:
+        super().__init__(settings, plan, processes)
+        self.relay.end()  # that of a trial, which notes less
+        self.relay: DayRelay = processes.enter_context(DayRelay())
+        self.listed = ListedNodes(plan)
+        self.first_entries = self.listed.entries()
+        self.expected: ExpectedViews | None = None
+        self.views_file: dict = {}
+
+    def control_configuration(self, source_port: int, main_port: int, served: dict[str, int]) -> dict:
+        self.views_file = super().control_configuration(source_port, main_port, served)
+        return self.views_file
+
+    def start(self) -> None:
+        super().start()
+        self.expected = self.expected_views()
+
+    def expected_views(self) -> ExpectedViews:
+        """The views by the control role's own file."""
+        told = views_configuration(self.views_file)
+        viewers = [conductor.viewer for conductor in told.conductors]
+        return ExpectedViews(viewers, told.limits, told.seed, self.first_entries)
+
+    def sample(self) -> Sample:
+        """All counters of which each second is told."""
+        return Sample(
+            time.monotonic(),
+            self.control.core_seconds() if self.control else 0.0,
+            self.hollows.core_seconds() if self.hollows else 0.0,
+            [one.core_seconds() for one in self.real],
+            self.relay.clients(),
+            self.discovery.figures().clients,
+        )
+
+    def conductors_of(self, region: str) -> frozenset[str]:
+        """The conductors that run in a region."""
+        return frozenset(name for name in self.names if self.planned(name).region == region)
+
+    def told_as_expected(self, names: Sequence[str]) -> list[str]:
+        """Those of the conductors that were told exactly the list that they ought to have, and asked on."""
+        told = self.relay.views()
+        if told.pending:
+            return []
+        return [name for name in names if told.views[name] == self.expected.states(name)]
+
+    def held_tables(self) -> dict[str, HeldTables]:
+        """Of each conductor what its proxies hold and, of a hollow one, which nodes it knows."""
+        hollow = self.hollows.orders() if self.hollows else []
+        real = self.peers.orders() if self.peers else []
+        return dict(zip(self.names, [*hollow, *real], strict=True))
+
+
+class WholeListTrial(DayTrial):
+    """A day of conductors that follow the whole list, at discovery."""
+
+    def check_fits(self) -> None:
+        Trial.check_fits(self)
+
+    def open_ports(self) -> dict[str, int]:
+        return self.relay.open(Trial.open_ports(self))
+
+    def _wait_ready(self) -> None:
+        Trial._wait_ready(self)
+
+    def control_usage(self) -> None:
+        return None
+
+    def expected_views(self) -> ExpectedViews:
+        """Every conductor's view is the whole list."""
+        viewers = [
+            Viewer(name, self.planned(name).region, self.planned(name).zone, ()) for name in self.names
+        ]
+        return ExpectedViews(viewers, UNBOUNDED, self.settings.seed, self.first_entries)
+
+
+def views_configuration(told: dict) -> Configuration:
+    """What the control role reads in its file."""
+    with TemporaryDirectory() as directory:
+        path = Path(directory, "views.yaml")
+        path.write_bytes(orjson.dumps(told))
+        return read_views(path)
+
+
+class DayPlayer:
+    """Plays the steps of a day at a trial that has started. `sleep` is a test's to replace."""
+
+    def __init__(self, trial: DayTrial, sleep: Callable[[float], None] = time.sleep) -> None:
+        self.trial, self._sleep = trial, sleep
+        self.changes: list[Change] = []
+        self.samples: list[Sample] = []
+        self.healings: list[Healing] = []
+        self.late_s = 0.0  # the most by which a step was made late
+        self.paused_s = 0.0  # that the day waited for conductors, before and after cuts
+        self._first = self._next_sample = 0.0
+        self._cut: CutBegun | None = None
+
+    def play(self, steps: Sequence[Step], length_s: float) -> None:
+        """Makes all changes in their time and lasts at least as long as the day. Raises ChildError."""
+        self._first = self._next_sample = time.monotonic()
+        for step in steps:
+            self._wait_until(step.at_s)
+            self.late_s = max(self.late_s, time.monotonic() - self._first - step.at_s)
+            if is_cut(step.events[0]):
+                for event in step.events:
+                    self._cut_or_join(event)
+            else:
+                self.make(step.events)
+        self._wait_until(length_s)
+        self.samples.append(self.trial.sample())
+
+    def make(self, events: Sequence[Event]) -> None:
+        """Makes one revision of the list."""
+        entries = self.trial.listed.change(tuple(events), time.time())
+        if entries:
+            self.changes.append(Change(time.monotonic(), kind_of(events[0]), tuple(entries)))
+            self.trial.discovery.change(entries)
+
+    def wait_settled(self, names: Sequence[str]) -> float | None:
+        """Seconds until these conductors have their views, while no change is made; None: not all came to."""
+        started = time.monotonic()
+        self.trial.expected.take(self.changes)
+        while time.monotonic() < started + SETTLED_WITHIN_S:
+            if len(self.trial.told_as_expected(names)) == len(names):
+                return time.monotonic() - started
+            self._sample_if_due()
+            self._sleep(LOOK_EVERY_S)
+        return None
+
+    def _wait_until(self, at_s: float) -> None:
+        """Sleeps until seconds from the day's start, without its pauses; takes the samples due meanwhile."""
+        while (now := time.monotonic()) < self._first + at_s:
+            if not self._sample_if_due():
+                self._sleep(max(0.0, min(self._first + at_s, self._next_sample) - now))
+        self._sample_if_due()
+
+    def _sample_if_due(self) -> bool:
+        if time.monotonic() < self._next_sample:
+            return False
+        self.samples.append(self.trial.sample())
+        self._next_sample = self.samples[-1].at + SAMPLE_EVERY_S
+        return True
+
+    def _cut_or_join(self, event: Event) -> None:
+        """Cuts two regions from each other or joins them; the day's clock stands meanwhile."""
+        began = time.monotonic()
+        if isinstance(event, RegionsCut):
+            self._cut_off(event)
+        elif self._cut:
+            self._join(event)
+        took = time.monotonic() - began
+        self._first += took
+        self.paused_s += took
+
+    def _cut_off(self, event: RegionsCut) -> None:
+        if self._cut:
+            raise NotReady("two cuts at once are not played")
+        trial = self.trial
+        region = max(event.second, event.first, key=lambda name: len(trial.conductors_of(name)))
+        names = trial.conductors_of(region)
+        self.wait_settled(trial.names)
+        told, cut = trial.relay.views().views, Cut(names, time.monotonic(), float("inf"))
+        trial.relay.cut(names)
+        self._cut = CutBegun(
+            cut,
+            region,
+            {name: frozenset(told[name]) for name in names},
+            {name: trial.expected.view(name) for name in names},
+            trial.relay.clients(),
+            len(self.changes),
+        )
+
+    def _join(self, event: Event) -> None:
+        trial, begun = self.trial, self._cut
+        self._cut = None
+        cut = begun.cut._replace(until=time.monotonic())
+        trial.relay.join(cut.conductors)
+        caught_up_s = self.wait_settled(sorted(cut.conductors))
+        told, traffic = trial.relay.views().views, trial.relay.clients()
+        moved = {(name, node) for name in cut.conductors for node in begun.told[name] ^ told[name].keys()}
+        had_to_move = {
+            (name, node)
+            for name in cut.conductors
+            for node in begun.expected[name] ^ trial.expected.view(name)
+        }
+        received = [traffic[name].bytes_in - begun.traffic[name].bytes_in for name in cut.conductors]
+        self.healings.append(
+            Healing(
+                event.first,
+                event.second,
+                begun.region,
+                cut,
+                len(self.changes) - begun.changes,
+                caught_up_s,
+                sum(received),
+                len(moved),
+                len(had_to_move),
+                len(moved - had_to_move),
+            )
+        )
--- /dev/null
+++ b/oatcart/scale/day_views.py
@@ -0,0 +1,101 @@
+"""Which views conductors ought to have, worked out from the changes made, beside the control role.
+
+Views are a function of the list alone, so a second `Subsets` that is told the same changes has the same
+views as the control role. Where conductors follow the whole list, their views have no bound.
+"""
+
+from collections.abc import Collection, Iterable, Sequence
+from typing import NamedTuple
+
+from oatcart.scale.day_relay import EntryState, entry_state
+from oatcart.scale.day_schedule import Change, Kind
+from oatcart.scale.discovery import DELETED
+from oatcart.views.configuration import NodeFields
+from oatcart.views.entries import SERVING, parse_entry
+from oatcart.views.publisher import member
+from oatcart.views.records import Viewer, ViewLimits
+from oatcart.views.subsets import Subsets
+
+UNBOUNDED = ViewLimits(most_members=10**9, most_bytes=10**9, most_entry_bytes=1)
+ZONES_LEAST = 2  # of each service in a view, where the service has nodes ready in as many
+
+
+class ViewAt(NamedTuple):
+    """The view that a conductor ought to have after a change, by the change's number."""
+
+    change: int
+    nodes: frozenset[str]
+
+
+class ExpectedViews:
+    """The views after each change made so far."""
+
+    def __init__(
+        self, viewers: Sequence[Viewer], limits: ViewLimits, seed: int, entries: Collection[dict]
+    ) -> None:
+        self.viewers = {viewer.name: viewer for viewer in viewers}
+        self.entries: dict[str, dict] = {}
+        self.taken = 0  # changes
+        self.returned: dict[
+            tuple[int, str], frozenset[str]
+        ] = {}  # holders of nodes that changes brought back
+        self._subsets = Subsets(limits, seed)
+        self._subsets.put_viewers(viewers)
+        self._set(entries)
+        self._history = {name: [ViewAt(-1, frozenset(self._subsets.view(name)))] for name in self.viewers}
+        self._subsets.take_changed()
+
+    def take(self, changes: Sequence[Change]) -> None:
+        """Works out the views after those of all changes that were not taken yet."""
+        for number in range(self.taken, len(changes)):
+            change = changes[number]
+            self._set(change.entries)
+            for name in self._subsets.take_changed():
+                nodes = frozenset(self._subsets.view(name))
+                if nodes != self._history[name][-1].nodes:
+                    self._history[name].append(ViewAt(number, nodes))
+            if change.kind is Kind.RETURN:
+                for entry in change.entries:
+                    self.returned[number, entry["id"]] = self._subsets.holders(entry["id"])
+        self.taken = len(changes)
+
+    def view(self, name: str) -> frozenset[str]:
+        """The nodes that a conductor ought to hold now."""
+        return self._history[name][-1].nodes
+
+    def states(self, name: str) -> dict[str, EntryState]:
+        """The list that a conductor ought to have been told."""
+        return {node: entry_state(self.entries[node]) for node in self.view(name)}
+
+    def is_dropped_after(self, name: str, node: str, change: int) -> int | None:
+        """The number of the first later change by which a node left a conductor's view; None: it did not."""
+        return next(
+            (one.change for one in self._history[name] if one.change > change and node not in one.nodes), None
+        )
+
+    def unusable(self, name: str, held: Collection[str]) -> list[str]:
+        """The services for which a conductor holds ready nodes in too few zones."""
+        there, here = self._ready_zones(self.entries), self._ready_zones(held)
+        needed = self.viewers[name].services or there.keys()
+        return [
+            service
+            for service in needed
+            if len(here.get(service, ())) < min(ZONES_LEAST, len(there.get(service, ())))
+        ]
+
+    def _ready_zones(self, nodes: Iterable[str]) -> dict[str, set[tuple[str, str]]]:
+        zones: dict[str, set[tuple[str, str]]] = {}
+        for node in nodes:
+            entry = self.entries.get(node)
+            if entry and entry["phase"] == SERVING:
+                zones.setdefault(entry["service"], set()).add((entry["region"], entry["locality"]))
+        return zones
+
+    def _set(self, entries: Iterable[dict]) -> None:
+        for entry in entries:
+            if entry["phase"] == DELETED:
+                self._subsets.drop_member(entry["id"])
+                self.entries.pop(entry["id"], None)
+            else:
+                self._subsets.put_member(member(parse_entry(entry), NodeFields()))
+                self.entries[entry["id"]] = entry
