Ports of tests and trials lie below the range of outgoing connections, in one function

Cause: a port taken and given back lies in the range from which the system gives ports to outgoing connections, so another test or trial may hold it by then. The function stood three times.

Change: oatcart/scale/ports.py draws ports below that range; tests and trials use it. No assertion is changed.

Measured: its tests, test_short_days, test_log_unread, test_views_process and test_scale_views pass, once each.

--- a/oatcart/scale/view_trial.py
+++ b/oatcart/scale/view_trial.py
@@ -8,7 +8,6 @@
 """
 
 import json
-import socket
 import time
 import urllib.error
 import urllib.request
@@ -29,6 +28,7 @@
 )
 from oatcart.scale.fleet import FleetPlan, PlannedConductor, PlannedNode
 from oatcart.scale.peers import PeerSettings
+from oatcart.scale.ports import free_ports
 from oatcart.scale.real import RUN, NotReady
 from oatcart.scale.trial import LOOK_EVERY_S, MadeChange, Ready, Trial, TrialSettings, check_fits
 from oatcart.scale.view_relay import ViewRelay
@@ -41,13 +41,6 @@
 GROWTH_OF_ENTRY = 16  # bytes by which an entry grows when its node drains and restarts: the phase, a time
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports that nothing listens at now."""
-    with ExitStack() as open_sockets:
-        listeners = [open_sockets.enter_context(socket.create_server((LOOPBACK, 0))) for _ in range(count)]
-        return [listener.getsockname()[1] for listener in listeners]
-
-
 class ViewTrial(Trial):
     """Hollow and real conductors behind the control role."""
 
--- a/tests/live/process.py
+++ b/tests/live/process.py
@@ -13,6 +13,7 @@
 
 from live.discovery import LOOPBACK, listed
 from live.waiting import PATIENCE
+from oatcart.scale.ports import free_ports
 
 ROOT = Path(__file__).parent.parent.parent
 
@@ -26,12 +27,6 @@
 }
 
 
-def free_port() -> int:
-    """A port of loopback that nobody listens at."""
-    with socket.create_server((LOOPBACK, 0)) as sock:
-        return sock.getsockname()[1]
-
-
 @dataclass(slots=True)
 class Conductor:
     """A conductor process with a configuration file of its own in `folder`."""
@@ -59,7 +54,7 @@
 
     def start(self, log: int = subprocess.PIPE) -> Self:
         """Start the process with its log on a pipe of ours; it is ready once `ready` returns."""
-        self.port = self.port or free_port()
+        self.port = self.port or free_ports(1)[0]
         self.write()
         self.process = subprocess.Popen(
             [sys.executable, "-m", "oatcart"],
--- a/tests/scale/test_scale_views.py
+++ b/tests/scale/test_scale_views.py
@@ -10,10 +10,11 @@
 from oatcart.scale.configuration import FleetSettings, ViewSettings
 from oatcart.scale.figures import play
 from oatcart.scale.fleet import plan_fleet
+from oatcart.scale.ports import free_ports
 from oatcart.scale.real import NotReady
 from oatcart.scale.trial import MadeChange, TrialSettings, running
 from oatcart.scale.view_relay import AnswerReader, RelayedClient
-from oatcart.scale.view_trial import ViewTrial, first_word, free_ports
+from oatcart.scale.view_trial import ViewTrial, first_word
 
 NODES = 120
 SMALL = TrialSettings(
--- a/tests/views/test_views_process.py
+++ b/tests/views/test_views_process.py
@@ -2,22 +2,16 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
-from contextlib import ExitStack
 from pathlib import Path
 
 import pytest
 from views_stage import Call, Stage, ids, node
 
-ROOT = Path(__file__).parents[2]
-
+from oatcart.scale.ports import free_ports
 
-def free_ports(count):
-    with ExitStack() as opened:
-        sockets = [opened.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(count)]
-        return [one.getsockname()[1] for one in sockets]
+ROOT = Path(__file__).parents[2]
 
 
 class Process:
