--- a/tests/scale/test_scale_day.py
+++ b/tests/scale/test_scale_day.py
@@ -50,8 +50,10 @@
     return replace(settings, budgets=replace(settings.budgets, change_in_force=drain_s))
 
 
-def play_small(day: DaySettings = SMALL_DAY, **kinds: type) -> DayResult:
-    return play_day(small_settings(day), SMALL, **kinds)
+def play_small(
+    day: DaySettings = SMALL_DAY, whole_list: bool = False, player_kind: type[DayPlayer] = DayPlayer
+) -> DayResult:
+    return play_day(small_settings(day), SMALL, whole_list, player_kind=player_kind)
 
 
 # Schedules.
@@ -276,10 +278,16 @@
         super().make(events)
 
 
-def test_a_conductor_that_is_told_nothing_is_reported(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("whole_list", [False, True])
+def test_a_conductor_that_is_told_nothing_is_reported(
+    monkeypatch: pytest.MonkeyPatch, whole_list: bool
+) -> None:
     monkeypatch.setattr("oatcart.scale.day_trial.SETTLED_WITHIN_S", 0.5)
     monkeypatch.setattr("oatcart.scale.day.KNOWN_WITHIN_S", 0.1)
-    result = play_small(replace(SMALL_DAY, restarts=30), player_kind=OneDeaf)
+    result = play_small(replace(SMALL_DAY, restarts=30), whole_list, OneDeaf)
+    assert result.whole_list is whole_list and [load.role for load in result.loads] == (
+        ["hollow_conductor"] if whole_list else ["control", "hollow_conductor"]
+    )
     deaf = "hollow-0"
     assert result.drains.missed and all(one.startswith(deaf) for one in result.drains.missed)
     assert all(one.endswith(deaf) for kind in result.kinds.values() for one in kind.missed)
