--- a/tests/scale/test_scale_report.py
+++ b/tests/scale/test_scale_report.py
@@ -166,7 +166,6 @@
 
 
 def test_each_slope_is_drawn_into_a_png(tmp_path):
-    pytest.importorskip("matplotlib")
     from oatcart.scale.plots import draw_slopes
 
     files = draw_slopes(analyse(measured()), tmp_path / "new", Budgets())
