--- a/oatcart/scale/day.py
+++ b/oatcart/scale/day.py
@@ -26,7 +26,7 @@
 from oatcart.scale.figures import CONTROL_ROLE, HOLLOW_ROLE, REAL_ROLE, is_late, summed
 from oatcart.scale.fleet import FleetPlan
 from oatcart.scale.hollow import HeldTables
-from oatcart.scale.runs import ended_by_sigterm
+from oatcart.scale.interrupts import noted_interrupts
 from oatcart.scale.trial import LOOK_EVERY_S, Reading, TrialSettings, running
 from oatcart.scale.troubles import plan_day
 
@@ -154,7 +154,7 @@
     if whole_list:
         scale = replace(scale, hollow=min(scale.hollow, WHOLE_LIST_MOST))
     with (
-        ended_by_sigterm(),
+        noted_interrupts() as interrupts,
         running(
             trial_settings(settings, scale), kind or (WholeListTrial if whole_list else DayTrial)
         ) as trial,
@@ -167,10 +167,10 @@
         progress(f"{fleet_text(trial.plan)}; {len(drawn.events)} events in {drawn.length_s:.0f} s")
         trial.start()
         trial.join_peers(keep_orders=True)
-        time.sleep(scale.settle_s)
+        interrupts.sleep(scale.settle_s)
         progress("all are ready, the day begins")
         before = trial.read()
-        player = player_kind(trial)
+        player = player_kind(trial, interrupts.sleep)
         player.play(steps, drawn.length_s)
         after = trial.read()
         progress("the day has ended")
--- a/tests/scale/test_scale_day.py
+++ b/tests/scale/test_scale_day.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import time
+from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
 
@@ -12,6 +13,7 @@
 import pytest
 
 from oatcart.scale.__main__ import main
+from oatcart.scale.children import Interrupted
 from oatcart.scale.configuration import DaySettings, FleetSettings, Settings, ViewSettings
 from oatcart.scale.day import DayResult, DayScale, is_known, play_day, table_nodes
 from oatcart.scale.day_deliveries import Cut, History, deliveries, drains
@@ -22,6 +24,7 @@
 from oatcart.scale.day_views import UNBOUNDED, ExpectedViews
 from oatcart.scale.fleet import plan_fleet
 from oatcart.scale.hollow import HeldTables
+from oatcart.scale.interrupts import noted_interrupts
 from oatcart.scale.troubles import (
     Cause,
     ConfigurationChanged,
@@ -296,11 +299,11 @@
 
 
 def children_of(pid: int) -> list[int]:
-    return [
-        int(word)
-        for path in Path(f"/proc/{pid}/task").glob("*/children")
-        for word in path.read_text().split()
-    ]
+    found: list[int] = []
+    for path in Path(f"/proc/{pid}/task").glob("*/children"):
+        with suppress(FileNotFoundError):  # a thread that has just ended
+            found += map(int, path.read_text().split())
+    return found
 
 
 def alive(pid: int) -> bool:
@@ -326,6 +329,15 @@
     assert not any(map(alive, children))
 
 
+def test_an_interrupt_that_was_ignored_where_it_came_is_raised_again() -> None:
+    with pytest.raises(Interrupted), noted_interrupts() as interrupts:
+        with suppress(Interrupted):
+            os.kill(os.getpid(), signal.SIGINT)
+            time.sleep(1.0)
+        interrupts.sleep(0.0)
+    assert signal.getsignal(signal.SIGINT) is signal.default_int_handler
+
+
 def test_a_fleet_without_room_for_its_day_and_a_missing_folder_are_said(
     tmp_path: Path, capsys: pytest.CaptureFixture
 ) -> None:
