--- a/oatcart/scale/children.py
+++ b/oatcart/scale/children.py
@@ -5,6 +5,7 @@
 memory are read from /proc and are its own role's.
 """
 
+import asyncio
 import ctypes
 import os
 import select
@@ -208,6 +209,19 @@
         return bool(received)
 
 
+async def answer_commands(commands: Commands) -> None:
+    """In a child on asyncio: answers the commands that arrive until the end of its input."""
+    ended = asyncio.Event()
+    reader = CommandReader(commands)
+
+    def read_commands() -> None:
+        if not reader.read():
+            ended.set()
+
+    asyncio.get_running_loop().add_reader(sys.stdin.fileno(), read_commands)
+    await ended.wait()
+
+
 def write_whole(descriptor: int, data: bytes) -> None:
     """Writes all of the data to a blocking descriptor."""
     view = memoryview(data)
--- a/oatcart/scale/day_relay.py
+++ b/oatcart/scale/day_relay.py
@@ -9,14 +9,13 @@
 """
 
 import asyncio
-import sys
 from collections.abc import Collection, Mapping
 from typing import NamedTuple
 from weakref import WeakSet
 
 import orjson
 
-from oatcart.scale.children import Child, CommandReader, ignore_interrupts
+from oatcart.scale.children import Child, answer_commands, ignore_interrupts
 from oatcart.scale.discovery import DELETED
 from oatcart.scale.view_relay import ConductorSide, RelayedClient, RelayService, ViewRelay
 
@@ -161,16 +160,8 @@
 async def serve() -> None:
     """The life of the process: until its input ends."""
     service = DayRelayService(asyncio.get_running_loop())
-    ended = asyncio.Event()
     commands = "open", "members", "figures", "held", "cut", "join", "views"
-    reader = CommandReader({name: getattr(service, name) for name in commands})
-
-    def read_commands() -> None:
-        if not reader.read():
-            ended.set()
-
-    asyncio.get_running_loop().add_reader(sys.stdin.fileno(), read_commands)
-    await ended.wait()
+    await answer_commands({name: getattr(service, name) for name in commands})
 
 
 if __name__ == "__main__":
--- a/oatcart/scale/discovery.py
+++ b/oatcart/scale/discovery.py
@@ -12,7 +12,6 @@
 
 import asyncio
 import socket
-import sys
 import time
 from bisect import bisect_right
 from collections.abc import Collection, Iterable, Mapping
@@ -23,7 +22,7 @@
 import orjson
 
 from oatcart.net.codec import ROLL_PATH
-from oatcart.scale.children import Child, CommandReader, ignore_interrupts, own_usage
+from oatcart.scale.children import Child, answer_commands, ignore_interrupts, own_usage
 
 LOOPBACK = "127.0.0.1"
 DELETED = "DELETED"
@@ -288,7 +287,6 @@
     """The life of the stand-in process: until its input ends."""
     loop = asyncio.get_running_loop()
     service = DiscoveryService(loop)
-    ended = asyncio.Event()
     commands = {
         "change": service.change,
         "open": service.open,
@@ -296,14 +294,7 @@
         "figures": service.figures,
         "held": service.held,
     }
-    reader = CommandReader(commands)
-
-    def read_commands() -> None:
-        if not reader.read():
-            ended.set()
-
-    loop.add_reader(sys.stdin.fileno(), read_commands)
-    await ended.wait()
+    await answer_commands(commands)
 
 
 if __name__ == "__main__":
--- a/oatcart/scale/peer_sockets.py
+++ b/oatcart/scale/peer_sockets.py
@@ -5,11 +5,10 @@
 """
 
 import asyncio
-import sys
 from collections.abc import Coroutine
 from dataclasses import asdict, astuple
 
-from oatcart.scale.children import Child, CommandReader, ignore_interrupts, own_usage
+from oatcart.scale.children import Child, answer_commands, ignore_interrupts, own_usage
 from oatcart.scale.discovery import LOOPBACK, Usage
 from oatcart.scale.hollow import HeldTables, held_tables, peer_settings
 from oatcart.scale.peers import TICK_S, ConductorPeers, PeerMessage, PeerSettings, PeerTraffic, collector_line
@@ -129,18 +128,10 @@
 async def serve() -> None:
     """The life of the process: until its input ends."""
     service = PeerService(asyncio.get_running_loop())
-    ended = asyncio.Event()
-    reader = CommandReader(
+    await answer_commands(
         {"join": service.join, "fail": service.fail, "figures": service.figures, "orders": service.orders}
     )
 
-    def read_commands() -> None:
-        if not reader.read():
-            ended.set()
-
-    asyncio.get_running_loop().add_reader(sys.stdin.fileno(), read_commands)
-    await ended.wait()
-
 
 if __name__ == "__main__":
     ignore_interrupts()
--- a/oatcart/scale/view_relay.py
+++ b/oatcart/scale/view_relay.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import socket
-import sys
 import time
 from collections.abc import Callable, Coroutine
 from typing import NamedTuple
@@ -18,7 +17,7 @@
 
 import orjson
 
-from oatcart.scale.children import Child, CommandReader, ignore_interrupts, own_usage
+from oatcart.scale.children import Child, answer_commands, ignore_interrupts, own_usage
 from oatcart.scale.discovery import (
     BACKLOG,
     DELETED,
@@ -265,8 +264,7 @@
 async def serve() -> None:
     """The life of the process: until its input ends."""
     service = RelayService(asyncio.get_running_loop())
-    ended = asyncio.Event()
-    reader = CommandReader(
+    await answer_commands(
         {
             "open": service.open,
             "track": service.track,
@@ -276,13 +274,6 @@
         }
     )
 
-    def read_commands() -> None:
-        if not reader.read():
-            ended.set()
-
-    asyncio.get_running_loop().add_reader(sys.stdin.fileno(), read_commands)
-    await ended.wait()
-
 
 if __name__ == "__main__":
     ignore_interrupts()
