--- a/oatcart/net/log.py
+++ b/oatcart/net/log.py
@@ -31,7 +31,9 @@
     probe: node 4 is silent
     """
 
-    def __init__(self, clock: Callable[[], float], out: TextIO = sys.stderr, most: int = LINES_MOST) -> None:
+    def __init__(
+        self, clock: Callable[[], float], out: TextIO | None = sys.stderr, most: int = LINES_MOST
+    ) -> None:
         self.clock, self.out, self.most = clock, out, most
         self.spans: dict[str, list] = {}  # by kind: when its span began, lines said, lines left out
 
@@ -48,6 +50,8 @@
 
     def _write(self, line: str) -> bool:
         """Whether the line went out."""
+        if self.out is None:  # started with standard error closed
+            return False
         try:
             descriptor = self.out.fileno()
         except (OSError, ValueError):  # kept in memory
--- a/tests/test_log_unread.py
+++ b/tests/test_log_unread.py
@@ -3,13 +3,17 @@
 import fcntl
 import os
 import signal
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
 from live.discovery import listed
 from live.ends import End
-from live.process import Conductor
-from live.waiting import until
+from live.process import ROOT, Conductor
+from live.waiting import PATIENCE, until
+
+from oatcart.scale.ports import free_ports
 
 
 def full_pipe() -> tuple[int, int]:
@@ -22,6 +26,26 @@
     return reader, writer
 
 
+def test_it_starts_and_answers_with_standard_error_closed(tmp_path: Path) -> None:
+    """Failure: Python has no object for a closed standard error, and the first line ended the process."""
+    one = Conductor(tmp_path, known=listed([]))
+    one.port = free_ports(1)[0]
+    one.write()
+    closed = f"exec {sys.executable} -m oatcart 2>&-"
+    process = subprocess.Popen(
+        ["/bin/sh", "-c", closed], cwd=ROOT, env=os.environ | {"EDGE_CONFIG": str(one._file())}
+    )
+    try:
+        until(lambda: one.listens(), "it does not listen")
+        with End(one.port) as end:
+            end.say("ping")
+            until(lambda: end.heard("pong"), "no answer")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(PATIENCE) == 0
+    finally:
+        process.kill()
+
+
 @pytest.mark.parametrize("reader_is_gone", [False, True])
 def test_it_starts_and_answers(tmp_path: Path, reader_is_gone: bool) -> None:
     """Failure: the first line waited until somebody read the log; with no reader it ended the process."""
