--- a/oatcart/scale/children.py
+++ b/oatcart/scale/children.py
@@ -237,8 +237,3 @@
 def ignore_interrupts() -> None:
     """In a child: only its parent ends it, which reads the last figures first."""
     signal.signal(signal.SIGINT, signal.SIG_IGN)
-
-
-def raise_interrupted(signal_number: int, frame: object) -> None:
-    """A handler for SIGTERM in the parent: leaves every `with` block, so that all children are ended."""
-    raise Interrupted(f"signal {signal_number}")
--- a/oatcart/scale/runs.py
+++ b/oatcart/scale/runs.py
@@ -21,15 +21,11 @@
 tells; a quick run does not: its bytes and processor time leave these fetches out.
 """
 
-import signal
-import threading
-from collections.abc import Callable, Collection, Iterator, Mapping
-from contextlib import contextmanager
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import replace
 from math import ceil
 
 from oatcart.policy import FETCH_EVERY
-from oatcart.scale.children import raise_interrupted
 from oatcart.scale.conductor_settings import ROUTES_MOST, conductor_settings, list_entry, route_names
 from oatcart.scale.configuration import DAY_S, FleetSettings, RunSettings, Settings
 from oatcart.scale.figures import (
@@ -41,6 +37,7 @@
     play_beside,
 )
 from oatcart.scale.fleet import plan_fleet
+from oatcart.scale.interrupts import noted_interrupts
 from oatcart.scale.measurement import Measurement
 from oatcart.scale.module_rounds import module_figures
 from oatcart.scale.peers import PeerSettings
@@ -214,10 +211,11 @@
     """
     runs = Runs(settings, quick, progress)
     measurements: list[Measurement] = []
-    with ended_by_sigterm():
+    with noted_interrupts() as interrupts:
         for dimension, sizes in sizes_of(runs.run, dimensions).items():
             grown = getattr(runs, dimension)
             for size in sizes:
+                interrupts.check()
                 progress(f"{dimension} {size:,}")
                 found = grown(size)
                 measurements += found
@@ -253,16 +251,3 @@
         if value is not None:
             told.append(f"{title} {value:.4g}")
     return " ".join(told)
-
-
-@contextmanager
-def ended_by_sigterm() -> Iterator[None]:
-    """Within the block SIGTERM raises Interrupted, so that every child is ended on the way out."""
-    if threading.current_thread() is not threading.main_thread():
-        yield  # signals are the main thread's
-        return
-    before = signal.signal(signal.SIGTERM, raise_interrupted)
-    try:
-        yield
-    finally:
-        signal.signal(signal.SIGTERM, before)
--- a/tests/scale/test_scale_runs.py
+++ b/tests/scale/test_scale_runs.py
@@ -16,6 +16,7 @@
 from oatcart.scale.configuration import FleetSettings, LimitSettings, RunSettings, Settings
 from oatcart.scale.figures import Delays, Observed, Specification, measured, play, play_beside, summarised
 from oatcart.scale.hollow import HollowReading
+from oatcart.scale.interrupts import noted_interrupts
 from oatcart.scale.measurement import Measurement
 from oatcart.scale.runs import measure, sizes_of
 from oatcart.scale.trial import DoesNotFit, TrialSettings, check_fits, make_changes, running
@@ -163,7 +164,7 @@
 
 def test_sigterm_is_the_callers_again_after_a_run() -> None:
     before = signal.getsignal(signal.SIGTERM)
-    with pytest.raises(Interrupted), runs.ended_by_sigterm():
+    with pytest.raises(Interrupted), noted_interrupts():
         os.kill(os.getpid(), signal.SIGTERM)
         time.sleep(1.0)
     assert signal.getsignal(signal.SIGTERM) is before
