--- a/deploy/sites/variants.py
+++ b/deploy/sites/variants.py
@@ -1,8 +1,10 @@
-"""Writes other deployments for the operators' bench from one of its site files: only what differs stands here.
+"""Writes other deployments for the operators' bench from one of its site files: only what differs stands
+here.
 
     python deploy/sites/variants.py ../given/kit/sites/lagos-lists.toml deploy/sites/out
 
-The files beside the site file that the bench reads with it are laid beside what is written. The output is not kept.
+The files beside the site file that the bench reads with it are laid beside what is written. The output is not
+kept.
 """
 
 import re
@@ -11,7 +13,8 @@
 from pathlib import Path
 
 BESIDE = "real.json", "wire.json", "unlock.txt"
-# By section (a class or a kind of node by its name) and key: the new value, None to leave the whole section out
+# By section (a class or a kind of node by its name) and key: the new value, None to leave the whole section
+# out
 VARIANTS = {
     "quay-maps": {  # many zones, four kinds of req, a slow channel, few messages, a long grace
         ("net", "zones"): '["quay-1", "quay-2", "quay-3", "quay-4", "quay-5", "hill", "mill"]',
@@ -28,7 +31,7 @@
         ("class fee-charge", "share"): "[0.1, 0.15]",
         ("kind full-speed", "name"): '"crane"',
         ("kind slower", "name"): '"barge"',
-        "more": '''
+        "more": """
 [[class]]
 name = "tide-tables"
 share = [0.15, 0.25]
@@ -41,9 +44,10 @@
 worth = 0.5
 late_worth = 0.3
 effect = "safe"
-''',
+""",
     },
-    "vault-seals": {  # half of the reqs may not run again, long cold, a fast channel, a short window for repeats
+    # half of the reqs may not run again, long cold, a fast channel, a short window for repeats
+    "vault-seals": {
         ("net", "zones"): '["vault-n", "vault-s"]',
         ("rules", "drain_grace_ms"): "2000",
         ("rules", "fall_multiple"): "3",
@@ -83,7 +87,9 @@
 
 def varied(text: str, name: str) -> str:
     """Another deployment's site file. Raises LookupError for a change that meets nothing."""
-    changes = {at: value for at, value in VARIANTS[name].items() if at != "more"} | {("", "name"): f'"{name}"'}
+    changes = {at: value for at, value in VARIANTS[name].items() if at != "more"} | {
+        ("", "name"): f'"{name}"'
+    }
     out, met = [], set()
     for lines in sections(text):
         where, gone = title(lines), False
--- a/examples/disputed_fee.py
+++ b/examples/disputed_fee.py
@@ -1,7 +1,7 @@
 """Writes three traces of one disputed fee into a folder: `python examples/disputed_fee.py FOLDER`.
 
-A conductor and two proxies whose clocks are some seconds apart. A litigant's app sent one fee twice, through both proxies;
-the first saw its connection reset after it had sent the req.
+A conductor and two proxies whose clocks are some seconds apart. A litigant's app sent one fee twice, through
+both proxies; the first saw its connection reset after it had sent the req.
 """
 
 import sys
@@ -38,7 +38,9 @@
                 events.append((at + there, name, OUT, applied_link("n0", mark, number), "n0"))
                 events.append((at + there + back, "n0", IN, applied_link("n0", mark, number), name))
     fee = "fee-charge"
-    events.append((1100.430, "proxy-a", REQ, 41, KEY, "proxy-a", fee, "east", "east-02", ERRORED, 0.180, 1, 3.0))
+    events.append(
+        (1100.430, "proxy-a", REQ, 41, KEY, "proxy-a", fee, "east", "east-02", ERRORED, 0.180, 1, 3.0)
+    )
     events.append((1101.100, "proxy-b", REQ, 77, KEY, "proxy-b", fee, "east", "east-05", DONE, 0.061, 1, 3.0))
     for at, name, *rest in sorted(events, key=lambda one: one[0]):
         note(name, at, *rest)
--- a/oatcart/handover.py
+++ b/oatcart/handover.py
@@ -4,11 +4,14 @@
 
 from oatcart import interface as our
 
-AMOUNT_MOST = 1e13  # any unit: over all that is told, Unix time in ms the largest; sums of more would overflow
-LOAD_MOST = 1e6  # reqs held or waiting, cores in use: more than any node has; one such figure would stand for long
+# any unit: over all that is told, Unix time in ms the largest; sums of more would overflow
+AMOUNT_MOST = 1e13
+# reqs held or waiting, cores in use: more than any node has; one such figure would stand for long
+LOAD_MOST = 1e6
 _REPEATS = {"idempotent": our.REPLAYABLE, "deduplicated": our.UNIQUED}
 _ADMITS = {"fraction": our.BY_SHARE, "per_second": our.BY_RATE}
-# In the order of our.Load: the settings' names, which reports bear on sockets too, and those of the protocol's page
+# In the order of our.Load: the settings' names, which reports bear on sockets too, and those of the
+# protocol's page
 _LOADS = (("concurrent", "inflight"), ("load_share", "util"), ("depth", "queue"))
 
 
@@ -42,8 +45,11 @@
         response_target=needed(grade, "aim", f"grades[{place}]") / 1000,
         repeat=_REPEATS.get(grade.get("idempotency"), our.NON_REPLAYABLE),
         home_zone=home,
-        zones=tuple(zones.index(z) if isinstance(z, str) else int(z) for z in names if z in zones or
-                    not isinstance(z, str)),
+        zones=tuple(
+            zones.index(z) if isinstance(z, str) else int(z)
+            for z in names
+            if z in zones or not isinstance(z, str)
+        ),
     )
 
 
@@ -52,18 +58,30 @@
     plane, rules = settings.get("specifics") or {}, settings.get("rules") or {}
     home = plane.get("zoneBound") or []
     return dict(
-        kinds=[_req_kind(place, grade, place < len(home) and home[place], settings.get("zones") or [])
-               for place, grade in enumerate(settings.get("grades") or [])],
+        kinds=[
+            _req_kind(place, grade, place < len(home) and home[place], settings.get("zones") or [])
+            for place, grade in enumerate(settings.get("grades") or [])
+        ],
         roll=our.RollManners(
             must_ask=settings.get("membershipMode") == "subscribe",
-            nominal_told=settings.get("weights", "off") != "off"),
+            nominal_told=settings.get("weights", "off") != "off",
+        ),
         channel=_given(
-            our.ChannelLimits, line_rate=needed(plane, "pushRate", "specifics"), head=plane.get("envelope"),
-            queue_most=plane.get("queueCap"), messages_most=plane.get("messagesMost"),
-            messages_over=needed(plane, "updateWindow", "specifics") / 1000 if plane.get("messagesMost") else None),
+            our.ChannelLimits,
+            line_rate=needed(plane, "pushRate", "specifics"),
+            head=plane.get("envelope"),
+            queue_most=plane.get("queueCap"),
+            messages_most=plane.get("messagesMost"),
+            messages_over=needed(plane, "updateWindow", "specifics") / 1000
+            if plane.get("messagesMost")
+            else None,
+        ),
         cold=_given(
-            our.ColdLimits, warm_after=seconds(rules, "cold"), share_at_start=rules.get("coldShare"),
-            fall_multiple=rules.get("tipMultiple")),
+            our.ColdLimits,
+            warm_after=seconds(rules, "cold"),
+            share_at_start=rules.get("coldShare"),
+            fall_multiple=rules.get("tipMultiple"),
+        ),
         report_period=needed(plane, "period", "specifics", 0.0) / 1000,
         admitting=_ADMITS.get(plane.get("admit"), our.NOT_AT_ALL),
         crossing_price=(settings.get("penalties") or {}).get("crossZone", 0.0),
@@ -74,7 +92,9 @@
 
 
 def socket_records(settings: dict) -> dict:
-    """The same for a conductor on sockets, where nothing comes unasked, whatever the settings tell of the list."""
+    """The same for a conductor on sockets, where nothing comes unasked, whatever the settings tell of the
+    list.
+    """
     records = start_records(settings)
     return records | {"roll": records["roll"]._replace(must_ask=True)}
 
@@ -87,6 +107,8 @@
 def load(report: object) -> our.Load:
     """A load report by our names; what is missing, negative, no number or no load is not told."""
     told = report if isinstance(report, dict) else {}
-    held, busy, waiting = (next((value for name in names if is_amount(value := told.get(name))
-                                 and value <= LOAD_MOST), None) for names in _LOADS)
+    held, busy, waiting = (
+        next((value for name in names if is_amount(value := told.get(name)) and value <= LOAD_MOST), None)
+        for names in _LOADS
+    )
     return held, busy, waiting
--- a/oatcart/interface.py
+++ b/oatcart/interface.py
@@ -67,8 +67,8 @@
 
 
 class OrderWriter(Protocol):
-    """Where a conductor writes its decisions, in the order in which they are to take effect.
-    A dropped node is let back where it was shut out, as its id may return, and then forgotten with its number."""
+    """Where a conductor writes its decisions, in the order in which they are to take effect. A dropped node
+    is let back where it was shut out, as its id may return, and then forgotten with its number."""
 
     def line(self, table: int, node: int, weight: float) -> None: ...
 
--- a/oatcart/net/acceptor.py
+++ b/oatcart/net/acceptor.py
@@ -12,11 +12,13 @@
 from oatcart.net.loop import IN, Loop, Task, Wait
 from oatcart.net.stream import Address, Stream
 
-STRANGER_MOST = 1.5  # s from its accept until a stranger has said who it is; a proxy does so with its first bytes
+# s from its accept until a stranger has said who it is; a proxy does so with its first bytes
+STRANGER_MOST = 1.5
 STRANGER_LINE = 1024  # bytes of its message, and of what it may leave unread: ten times a joining
 REPORTS_ROOM = 16 * 1024  # bytes that are read of a collector at a time, some hundred reports
 COLLECTORS_MOST = 2  # of a zone; one that redials leaves connections behind that nobody sees end
-KEPT_BACK = 16  # descriptors: standard streams, epoll, the listener, the wake pair, two calls to discovery; half spare
+# descriptors: standard streams, epoll, the listener, the wake pair, two calls to discovery; half spare
+KEPT_BACK = 16
 BACKLOG = 1024  # connections not yet accepted: a whole fleet may dial at once
 ACCEPTS_MOST = 64  # in one turn of the loop, so that those who are in use are read in between
 NO_ROOM_WAIT = 0.2  # s without accepting where there is no room; far within a proxy's redial
@@ -58,8 +60,8 @@
                     yield Wait(until=self.loop.now + NO_ROOM_WAIT)
 
     def _let_in(self, sock: socket.socket) -> None:
-        """Where there is no room the oldest stranger makes way, else this one; never who is in use. What has come
-        already is read first, of this one and of the oldest: in a flood of strangers a proxy is none."""
+        """Where there is no room the oldest stranger makes way, else this one; never who is in use. What has
+        come already is read first, of this one and of the oldest: in a flood of strangers a proxy is none."""
         stream = Stream(self.loop, sock, STRANGER_LINE, STRANGER_LINE, STRANGER_LINE)
         self.strangers[stream] = None
         life = self.loop.spawn(self._life(stream))
@@ -75,8 +77,8 @@
             self._end(stream)
 
     def _life(self, stream: Stream) -> Generator[Wait, bool, None]:
-        """The life of a connection, whoever is at its other end. Until it has joined it has one deadline, whatever
-        it says, and a small buffer: what strangers cost is theirs alone."""
+        """The life of a connection, whoever is at its other end. Until it has joined it has one deadline,
+        whatever it says, and a small buffer: what strangers cost is theirs alone."""
         who = "a stranger"
         try:
             told = yield from talk.arrival(stream, self.codec, self._refuse, self.loop.now + STRANGER_MOST)
--- a/oatcart/net/codec.py
+++ b/oatcart/net/codec.py
@@ -15,7 +15,7 @@
 _STATES = {"SERVING": our.READY, "DRAINING": our.DRAINING, "DELETED": our.GONE}
 _UNFIT = (KeyError, TypeError, ValueError, AttributeError, OverflowError)  # raised over what does not fit
 PING, PONG = ("ping",), b'{"msg":"pong"}\n'
-COUNT_MOST = 10 ** 7  # reqs of one sum or a second, proxies, marks: more than a fleet meets in any window
+COUNT_MOST = 10**7  # reqs of one sum or a second, proxies, marks: more than a fleet meets in any window
 ID_MOST = 256  # letters of a node's id, as kept
 NAME_SHOWN = 80  # letters of what does not fit, in the log
 ENTRY_SHOWN = 300  # letters of a node's entry that does not fit
@@ -39,7 +39,8 @@
     host, _, port = host_port.rpartition(":")
     if not 0 <= int(port) < 65536:
         raise ValueError(f"{host_port!r} is not host:port")
-    return str(IPv4Address(host)), int(port)  # a name would have to be looked up, and all else would wait for that
+    # a name would have to be looked up, and all else would wait for that
+    return str(IPv4Address(host)), int(port)
 
 
 def parsed(message: memoryview) -> dict:
@@ -101,7 +102,9 @@
         try:
             return _READERS[table["msg"]](self, table)
         except _UNFIT as error:
-            raise Odd(f"{str(table.get('msg'))[:NAME_SHOWN]}: {str(error)[:NAME_SHOWN]!r} does not fit") from None
+            raise Odd(
+                f"{str(table.get('msg'))[:NAME_SHOWN]}: {str(error)[:NAME_SHOWN]!r} does not fit"
+            ) from None
 
     def _collector(self, table: dict) -> tuple:
         self.zones[table["az"]]
@@ -111,8 +114,13 @@
         blank = table.get("standing", False)
         if not isinstance(blank, bool):
             raise TypeError(f"standing {blank!r}")
-        return ("joined", self._proxy(table), self.zones[table["az"]],
-                _amount(table.get("share", 0.0), COUNT_MOST), blank)
+        return (
+            "joined",
+            self._proxy(table),
+            self.zones[table["az"]],
+            _amount(table.get("share", 0.0), COUNT_MOST),
+            blank,
+        )
 
     def _applied(self, table: dict) -> tuple:
         return ("applied", self._proxy(table), _count(table["version"]), _span(table["lag_ms"]))
@@ -122,12 +130,26 @@
         if errored > tried:
             raise ValueError(f"bad {errored} of {tried}")
         took = _span(table["avg"]) if tried > errored else 0.0  # there is no mean of nothing
-        return ("met", self.places[table["host"]], self.zones[table["az"]], _window(table), took, errored, tried,
-                load(table.get("report")))
+        return (
+            "met",
+            self.places[table["host"]],
+            self.zones[table["az"]],
+            _window(table),
+            took,
+            errored,
+            tried,
+            load(table.get("report")),
+        )
 
     def _came(self, table: dict) -> tuple:
-        return ("came", self._proxy(table), self.kinds[table["kind"]], _count(table["n"]),
-                _count(table["bad"]), _window(table))  # bad ones may have come in an earlier window
+        return (
+            "came",
+            self._proxy(table),
+            self.kinds[table["kind"]],
+            _count(table["n"]),
+            _count(table["bad"]),
+            _window(table),
+        )  # bad ones may have come in an earlier window
 
     def _proxy(self, table: dict) -> int:
         proxy = _count(table["sidecar"])
@@ -136,8 +158,8 @@
         return proxy
 
     def roll(self, table: dict) -> Roll:
-        """A list of nodes, whole or changed entries only; an entry that cannot be used is left out, and as the node
-        it was about may be any, such a list leaves out nobody else: it counts as changes."""
+        """A list of nodes, whole or changed entries only; an entry that cannot be used is left out, and as
+        the node it was about may be any, such a list leaves out nobody else: it counts as changes."""
         if not is_amount(table.get("revision")) or not isinstance(table.get("members"), list):
             raise Ended(Ending.UNREADABLE, "no list of nodes")
         roll = Roll(int(table["revision"]), bool(table.get("complete")), [], [], [])
--- a/oatcart/net/collector.py
+++ b/oatcart/net/collector.py
@@ -11,8 +11,9 @@
 REPORTS = ("met", "came")
 
 
-def live(stream: Stream, codec: Codec, rounds: Rounds,
-         skipped: Callable[[Odd], None]) -> Generator[Wait, bool, None]:
+def live(
+    stream: Stream, codec: Codec, rounds: Rounds, skipped: Callable[[Odd], None]
+) -> Generator[Wait, bool, None]:
     while True:
         told = yield from talk.arrival(stream, codec, skipped)
         if told[0] in REPORTS:
--- a/oatcart/net/conductor.py
+++ b/oatcart/net/conductor.py
@@ -98,8 +98,11 @@
 
     def _keep_telling(self) -> None:
         if self.rounds:
-            self.log.say("turns", f"longest {self.longest * 1000:.1f} ms, {self.rounds} rounds, "
-                         f"{len(self.streams)} proxies, {len(self.loop.masks)} connections")
+            self.log.say(
+                "turns",
+                f"longest {self.longest * 1000:.1f} ms, {self.rounds} rounds, "
+                f"{len(self.streams)} proxies, {len(self.loop.masks)} connections",
+            )
         self.rounds, self.longest = 0, 0.0
         self.loop.at(self.loop.now + TELL_EVERY, self._keep_telling)
 
--- a/oatcart/net/http.py
+++ b/oatcart/net/http.py
@@ -10,23 +10,25 @@
 
 OK = 200
 HEAD_MOST = 16 * 1024  # bytes of an answer's head; h11's own default
-# s from a call's start: the protocol's time until a watch counts as a new one. A kept connection that ends later with
-# no word was ended over this call, by a server that is down or has too many, and whoever asked waits before the next
+# s from a call's start: the protocol's time until a watch counts as a new one. A kept connection that ends
+# later with
+# no word was ended over this call, by a server that is down or has too many, and whoever asked waits before
+# the next
 REPEAT_WITHIN = 0.2
 
 
 class Client:
-    def __init__(self, loop: Loop, address: Address) -> None:
-        self.loop, self.address = loop, address
+    def __init__(self, loop: Loop, address: Address, body_most: int = MESSAGE_MOST) -> None:
+        self.loop, self.address, self.body_most = loop, address, body_most
         self.host = "{}:{}".format(*address).encode()
         self.stream: Stream | None = None
 
     def get(self, path: str, until: float) -> Generator[Wait, bool, memoryview]:
         """The body of the answer to one call; raises Ended, DENIED for any status but 200.
 
-        A kept connection may be closed between two calls with nobody at fault. So one that is over already, or on which
-        bytes lie that answer nothing we asked, is left for a new one; and a call that meets its end before a byte of an
-        answer is made once more."""
+        A kept connection may be closed between two calls with nobody at fault. So one that is over already,
+        or on which bytes lie that answer nothing we asked, is left for a new one; and a call that meets its
+        end before a byte of an answer is made once more."""
         if self.stream is not None and not self.stream.quiet():
             self.close()
         kept, began = self.stream is not None, self.loop.now
@@ -54,7 +56,8 @@
             self.close()
             raise
         both_done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-        if both_done and not self.http.trailing_data[0]:  # else what lies there would be the next call's answer
+        # else what lies there would be the next call's answer
+        if both_done and not self.http.trailing_data[0]:
             self.http.start_next_cycle()
         else:
             self.close()
@@ -77,7 +80,7 @@
             elif type(event) is h11.Data:
                 parts.append(event.data)  # h11's own copy
                 size += len(event.data)
-                if size > MESSAGE_MOST:
+                if size > self.body_most:
                     raise Ended(Ending.TOO_LONG)
             elif type(event) is h11.EndOfMessage:
                 return status, memoryview(b"".join(parts))
--- a/oatcart/net/loop.py
+++ b/oatcart/net/loop.py
@@ -85,8 +85,8 @@
         self.now = self.clock()
         for fd, mask in events:
             for event in (IN, OUT):
-                # Closed in this turn, its number may be another's: what came was for the owner that is gone. A new
-                # connection would be taken as up before it is.
+                # Closed in this turn, its number may be another's: what came was for the owner that is gone.
+                # A new connection would be taken as up before it is.
                 if fd in self.closed:
                     break
                 if mask & (event | GONE_WRONG) and (task := self.waiting.get((fd, event))):
--- a/oatcart/net/probe.py
+++ b/oatcart/net/probe.py
@@ -9,12 +9,19 @@
 from oatcart.net.loop import Loop, Wait
 from oatcart.net.stream import Address
 
-PROBES_MOST = 64  # at a time, each a descriptor while there are any left; a round asks for one a withdrawn node
+# at a time, each a descriptor while there are any left; a round asks for one a withdrawn node
+PROBES_MOST = 64
 
 
 class Prober:
-    def __init__(self, loop: Loop, reports: bool, within: float, addresses: dict[int, Address],
-                 arrive: Callable[[tuple], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        reports: bool,
+        within: float,
+        addresses: dict[int, Address],
+        arrive: Callable[[tuple], None],
+    ) -> None:
         self.loop, self.reports, self.within = loop, reports, within
         self.addresses, self.arrive = addresses, arrive
         self.under_way = 0
@@ -23,8 +30,8 @@
         self.loop.spawn(self._probe(node))
 
     def _probe(self, node: int) -> Generator[Wait, bool, None]:
-        """The life of a probe: dial, ask, and tell the module how it ended. Where the node has another address by
-        then, or its number is another's, it has shown nothing of who is there now."""
+        """The life of a probe: dial, ask, and tell the module how it ended. Where the node has another
+        address by then, or its number is another's, it has shown nothing of who is there now."""
         address = self.addresses.get(node)
         began, told, ending = self.loop.now, (None, None, None), Ending.DONE
         self.under_way += 1
--- a/oatcart/net/reload.py
+++ b/oatcart/net/reload.py
@@ -30,7 +30,9 @@
     return woken
 
 
-def reloads(loop: Loop, log: Log, woken: socket.socket, take: Callable[[], str]) -> Generator[Wait, bool, None]:
+def reloads(
+    loop: Loop, log: Log, woken: socket.socket, take: Callable[[], str]
+) -> Generator[Wait, bool, None]:
     """The life of all reloads: `take` reads the file, hands on what may change, and says what it did."""
     again, tries, said = inf, 0, ""
     while True:
--- a/oatcart/net/roll.py
+++ b/oatcart/net/roll.py
@@ -10,26 +10,36 @@
 from oatcart.net.loop import Loop, Task, Wait
 from oatcart.net.stream import Address
 
-CALL_MOST = 4.0  # s for a call that doesn't wait: its news counts as told after 6, and a busy discovery needs 2
+# s for a call that doesn't wait: its news counts as told after 6, and a busy discovery needs 2
+CALL_MOST = 4.0
 WATCH_OVER = 2.0  # s beyond the wait that a call asks for; from then on its news counts as told
-EARLY = 0.5  # of the wait that a call asks for: an answer that says nothing new comes at its end, give or take
+# of the wait that a call asks for: an answer that says nothing new comes at its end, give or take
+EARLY = 0.5
 
 
 class Watcher:
-    def __init__(self, loop: Loop, codec: Codec, log: Log, discovery: Address, wait: float,
-                 arrive: Callable[[tuple], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        codec: Codec,
+        log: Log,
+        discovery: Address,
+        wait: float,
+        arrive: Callable[[tuple], None],
+    ) -> None:
         self.loop, self.codec, self.log, self.discovery = loop, codec, log, discovery
         self.wait, self.arrive = wait, arrive
         self.revision = 0
-        self.anew = False  # the revisions may be others from the next answer on: another address, another life
+        # the revisions may be others from the next answer on: another address, another life
+        self.anew = False
         self.wanted = False  # the module follows the list, whether a watch stands or it waits to ask again
         self.addresses: dict[int, Address] = {}
         self.watching: Task | None = None
         self.fetching = False
 
     def move(self, discovery: Address) -> None:
-        """From now on all is asked at another address; what is under way at the old one, which may be closed or
-        answer with what is out of date, is asked anew. Streams, tables and the list stay as they are."""
+        """From now on all is asked at another address; what is under way at the old one, which may be closed
+        or answer with what is out of date, is asked anew. Streams, tables and the list stay as they are."""
         if discovery == self.discovery:
             return
         self.discovery, self.anew = discovery, True
@@ -64,9 +74,9 @@
 
     def _watch(self) -> Generator[Wait, bool, None]:
         """The life of a watch: the first answer at once, then each as it comes, until a call fails. The first
-        answer of another address is its whole list, whatever its revision; so is the next one where discovery has
-        started over, as its changes do not tell what has gone. An answer before its time that says nothing new fails
-        too: asked again at once it would be again, as fast as the network goes."""
+        answer of another address is its whole list, whatever its revision; so is the next one where discovery
+        has started over, as its changes do not tell what has gone. An answer before its time that says
+        nothing new fails too: asked again at once it would be again, as fast as the network goes."""
         client, wait = Client(self.loop, self.discovery), 0.0
         try:
             while True:
--- a/oatcart/net/sidecar.py
+++ b/oatcart/net/sidecar.py
@@ -11,9 +11,17 @@
 SPEAKS = ("applied", "came")  # what a proxy tells once it has joined
 
 
-def live(stream: Stream, joined: tuple, codec: Codec, rounds: Rounds,
-         skipped: Callable[[Odd], None], end: Callable[[Stream], None]) -> Generator[Wait, bool, None]:
-    """Tell the module what the proxy says. Its older stream is over: it may have broken and never be seen to end."""
+def live(
+    stream: Stream,
+    joined: tuple,
+    codec: Codec,
+    rounds: Rounds,
+    skipped: Callable[[Odd], None],
+    end: Callable[[Stream], None],
+) -> Generator[Wait, bool, None]:
+    """Tell the module what the proxy says. Its older stream is over: it may have broken and never be seen to
+    end.
+    """
     _, proxy, _, _, blank = joined
     older = rounds.streams.get(proxy)
     rounds.join(proxy, blank, stream)
@@ -25,7 +33,8 @@
             told = yield from talk.arrival(stream, codec, skipped)
             if told[0] not in SPEAKS or told[1] != proxy:
                 skipped(Odd(f"proxy {proxy} does not say {told[:2]}"))
-            elif told[0] == "applied" and not rounds.asked(proxy, told[2]):  # it would pass for an acknowledgement
+            # it would pass for an acknowledgement
+            elif told[0] == "applied" and not rounds.asked(proxy, told[2]):
                 skipped(Odd(f"proxy {proxy} was not asked for mark {told[2]}"))
             else:
                 rounds.arrive(told)
--- a/oatcart/net/stream.py
+++ b/oatcart/net/stream.py
@@ -11,7 +11,8 @@
 from oatcart.net.ending import Ended, Ending, ended_by
 from oatcart.net.loop import IN, OUT, Loop, Wait
 
-ROOM = 4 * 1024  # bytes; a turn's reading of one connection, some dozen reports; hundreds of connections have one
+# bytes; a turn's reading of one connection, some dozen reports; hundreds of connections have one
+ROOM = 4 * 1024
 MESSAGE_MOST = 1024 * 1024  # bytes of a line or of an answer's part: the protocol's limit
 UNSENT_MOST = 256 * 1024  # bytes; hundreds of tables, so whoever leaves them unread is silent, not slow
 
@@ -19,17 +20,26 @@
 
 
 class Stream:
-    """`room`: bytes that are read at a time. `most`: of a message. `unsent_most`: left unread by the other side."""
-
-    def __init__(self, loop: Loop, sock: socket.socket, room: int = ROOM, most: int = MESSAGE_MOST,
-                 unsent_most: int = UNSENT_MOST) -> None:
+    """`room`: bytes that are read at a time. `most`: of a message. `unsent_most`: left unread by the other
+    side.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        room: int = ROOM,
+        most: int = MESSAGE_MOST,
+        unsent_most: int = UNSENT_MOST,
+    ) -> None:
         sock.setblocking(False)
         self.loop, self.sock, self.fd = loop, sock, sock.fileno()
         loop.open += 1
         self.view = memoryview(bytearray(room))
         self.start = self.seen = self.end = 0  # bytes handed out, searched and read
         self.unsent = bytearray()
-        self.broken: Ending | None = None  # how writing ended; a message left out or cut would spoil all later ones
+        # how writing ended; a message left out or cut would spoil all later ones
+        self.broken: Ending | None = None
         self.fresh = True  # nothing was read yet: what may have come with the connection is not waited for
         self.late = Ending.SILENT  # what it is to whoever waits here when the time is over
         self.looked = False  # once more since the time was over
@@ -44,7 +54,7 @@
         while True:
             at = self.view.obj.find(b"\n", self.seen, self.end)
             if at >= 0:
-                line, self.start = self.view[self.start:at], at + 1
+                line, self.start = self.view[self.start : at], at + 1
                 self.seen = self.start
                 return line
             self.seen = self.end
@@ -57,12 +67,14 @@
         """All that is there, at least a byte; nothing once the other side has closed."""
         if self.start == self.end:
             yield from self._fill(until)
-        part, self.start = self.view[self.start:self.end], self.end
+        part, self.start = self.view[self.start : self.end], self.end
         self.seen = self.end
         return part
 
     def quiet(self) -> bool:
-        """Whether nothing has come, not even an end. What has is read and lost: such a connection is of no use."""
+        """Whether nothing has come, not even an end. What has is read and lost: such a connection is of no
+        use.
+        """
         try:
             self.sock.recv(1)
         except BlockingIOError:
@@ -81,7 +93,7 @@
                 raise Ended(self.late)
             self.fresh, self.looked = False, over
             try:
-                size = self.sock.recv_into(self.view[self.end:])
+                size = self.sock.recv_into(self.view[self.end :])
             except BlockingIOError:
                 if over:
                     raise Ended(self.late) from None
@@ -98,15 +110,17 @@
             self.view = memoryview(bytearray(self.room))
         elif 2 * left > len(self.view):
             larger = memoryview(bytearray(2 * len(self.view)))
-            larger[:left] = self.view[self.start:self.end]
+            larger[:left] = self.view[self.start : self.end]
             self.view = larger
         elif self.start:
-            self.view[:left] = self.view[self.start:self.end]
+            self.view[:left] = self.view[self.start : self.end]
         self.seen -= self.start
         self.start, self.end = 0, left
 
     def write(self, data: bytes) -> None:
-        """Send at once what goes, keep the rest in order; never waits. Raises Ended, and so does whoever reads here."""
+        """Send at once what goes, keep the rest in order; never waits. Raises Ended, and so does whoever
+        reads here.
+        """
         if self.broken is not None:
             raise Ended(self.broken)
         if self.unsent:
@@ -139,7 +153,7 @@
         while self.unsent:
             yield Wait(self.fd, OUT)
             with suppress(Ended):  # the reader of this connection learns of it too
-                del self.unsent[:self._send(self.unsent)]
+                del self.unsent[: self._send(self.unsent)]
 
     def close(self) -> None:
         if self.sock.fileno() >= 0:  # else the descriptor may be another's by now
--- a/oatcart/net/talk.py
+++ b/oatcart/net/talk.py
@@ -8,10 +8,11 @@
 from oatcart.net.stream import Stream
 
 
-def arrival(stream: Stream, codec: Codec, odd: Callable[[Odd], None],
-            until: float = inf) -> Generator[Wait, bool, tuple]:
-    """The next message that there is a use for, by the time `until` whatever else comes before it. One that can
-    be read but not used goes to `odd`, which may end the connection."""
+def arrival(
+    stream: Stream, codec: Codec, odd: Callable[[Odd], None], until: float = inf
+) -> Generator[Wait, bool, tuple]:
+    """The next message that there is a use for, by the time `until` whatever else comes before it. One that
+    can be read but not used goes to `odd`, which may end the connection."""
     while True:
         line = yield from stream.line(until)
         try:
--- a/oatcart/policy.py
+++ b/oatcart/policy.py
@@ -65,9 +65,13 @@
 
 def weighted_sum(load: float, rise: float, took: float, ratio: float) -> float:
     """The design's sum of scores, from percent, points, seconds and the share errored."""
-    return (LOAD_PART * (100.0 if load < IDLE_LOAD else clamp(100.0 - load)) + TREND_PART * clamp(FLAT - rise)
-            + DURATION_PART * clamp(100.0 - max(0.0, took - QUICK) * SLOW_COST)
-            + BYTES_PART * FLAT + ERROR_PART * clamp(100.0 - ratio * ERROR_COST))
+    return (
+        LOAD_PART * (100.0 if load < IDLE_LOAD else clamp(100.0 - load))
+        + TREND_PART * clamp(FLAT - rise)
+        + DURATION_PART * clamp(100.0 - max(0.0, took - QUICK) * SLOW_COST)
+        + BYTES_PART * FLAT
+        + ERROR_PART * clamp(100.0 - ratio * ERROR_COST)
+    )
 
 
 def ramp(since: float) -> float:  # share of its weight that a node gets so long after its start or way back
@@ -154,10 +158,21 @@
 
 
 class Conductor:
-    def __init__(self, *, seed: int, kinds: list[our.ReqKind], roll: our.RollManners,
-                 channel: our.ChannelLimits, cold: our.ColdLimits, report_period: float, admitting: str,
-                 crossing_price: float, may_probe: bool, grace: float = inf,
-                 usual_proxies: float = 0.0) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        kinds: list[our.ReqKind],
+        roll: our.RollManners,
+        channel: our.ChannelLimits,
+        cold: our.ColdLimits,
+        report_period: float,
+        admitting: str,
+        crossing_price: float,
+        may_probe: bool,
+        grace: float = inf,
+        usual_proxies: float = 0.0,
+    ) -> None:
         self.uniform, self.kinds, self.roll, self.cold = Random(seed).uniform, kinds, roll, cold
         self.period = self.heard_over = report_period  # as set, and as sums in fact cover it
         self.admitting, self.crossing_price, self.may_probe = admitting, crossing_price, may_probe
@@ -296,7 +311,7 @@
                 if (missing := size - len(table.dealt)) > 0:
                     rest = sorted(pool.keys() - table.dealt, key=lambda at: (cover[at], self.uniform(0, 1)))
                     half = int(table.size) // 2 - sum(pool[at].zone == near for at in table.dealt)
-                    close = [at for at in rest if pool[at].zone == near][:max(0, half)]
+                    close = [at for at in rest if pool[at].zone == near][: max(0, half)]
                     rest = [*close, *(at for at in rest if at not in close)][:missing]
                     table.dealt.update(rest)
                     cover.update(rest)
@@ -317,7 +332,7 @@
         fitting = {one: self.tables_of(*one) for one in sorted({(p.zone, p.held) for p in joiners.values()})}
         for number, proxy in joiners.items():
             fits = fitting[proxy.zone, proxy.held]
-            over = any(table.size > most for table, (most, _) in zip(proxy.tables, fits))
+            over = any(table.size > most for table, (most, _) in zip(proxy.tables, fits, strict=False))
             if not proxy.tables or over and not any(number in table.proxies for table in proxy.tables):
                 proxy.tables = [fit[0] for _, fit in fits]
                 for _, fit in fits:  # by turns, from the one with the fewest
@@ -356,8 +371,9 @@
         if proxy in self.proxies and kind < len(self.kinds) and over > 0:
             self.proxies[proxy].rates[kind] += (count / over - self.proxies[proxy].rates[kind]) / 2
 
-    def take_met(self, place: int, zone: int, over: float, took: float, errored: int, tried: int,
-                 load: our.Load) -> None:
+    def take_met(
+        self, place: int, zone: int, over: float, took: float, errored: int, tried: int, load: our.Load
+    ) -> None:
         node = self.nodes.setdefault(place, new_node())
         self.heard_over += HEARD_STEP * (max(over, self.period) - self.heard_over)
         node.tried, node.errored, good = node.tried + tried, node.errored + errored, max(0, tried - errored)
@@ -386,8 +402,12 @@
                 node.eased_at = self.now
                 if self.now - node.out_at >= node.hold and (node.passes >= PASSES or not self.may_probe):
                     self.forget(node, self.now)
-            elif self.silent(node) or node.tried >= SICK_TRIES and node.errored > SICK_RATIO * node.tried \
-                    and self.sick(node, list(ready.values())):
+            elif (
+                self.silent(node)
+                or node.tried >= SICK_TRIES
+                and node.errored > SICK_RATIO * node.tried
+                and self.sick(node, list(ready.values()))
+            ):
                 self.take_out(place, node)
         keep = 1.0 - LOOK_EVERY / max(FORGET, FORGET_PERIODS * self.heard_over)
         for node in self.nodes.values():
@@ -414,8 +434,8 @@
         node.out, node.out_at, node.passes = True, self.now, 0
 
     def turn_nodes(self, out: bool) -> None:  # out of all tables that proxies hold, and back; none only met
-        listed = {} if out and self.parted else {
-            at: node for at, node in self.nodes.items() if node.turned_at > LONG_AGO}
+        nodes = {} if out and self.parted else self.nodes
+        listed = {at: node for at, node in nodes.items() if node.turned_at > LONG_AGO}
         due = {at: node for at, node in listed.items() if unusable(node) == out != node.shut}
         for one in self.tables.values() if not out else ():  # none is let in on a line of its former life
             due = {at: node for at, node in due.items() if one.lines.get(at, 0) <= one.pending.get(at, inf)}
@@ -431,10 +451,14 @@
 
     def drop_gone(self, all_bound: bool) -> None:  # nodes long gone, in nobody's lines; each costs a message
         gone = [at for at, node in self.nodes.items() if node.state == our.GONE and node.turned_at > LONG_AGO]
-        over = [at for at in gone if self.nodes[at].turned_at < self.now - KEPT_GONE
-                and not any(at in one.lines for one in self.tables.values())]
+        over = [
+            at
+            for at in gone
+            if self.nodes[at].turned_at < self.now - KEPT_GONE
+            and not any(at in one.lines for one in self.tables.values())
+        ]
         due = any(self.nodes[at].turned_at < self.now - 2 * KEPT_GONE for at in over) and all_bound
-        for at in over[:self.channel.claim(self.proxies, len(over), RETURNS_PART, 1) if due else 0]:
+        for at in over[: self.channel.claim(self.proxies, len(over), RETURNS_PART, 1) if due else 0]:
             self.orders.drop(at)
             del self.nodes[at]
 
@@ -524,15 +548,23 @@
         slow = 1.0 + min(SLOW_MOST, len(want) * sharing / max(1.0, self.channel.limits.line_rate))
         falls = {at: self.nodes[at] for at, (old, new) in both.items() if 0 < new < old / 2}
         fresh = {at for at, node in falls.items() if ramp(self.now - node.eased_at) < 1.0}  # can't wait
-        changes = {at: new for at, (old, new) in both.items() if (old > 0) != (new > 0)
-                   or at in falls and self.warmth(falls[at]) < 1.0
-                   or abs(new - old) > slow * max(RESEND_OVER, LEANED_OVER * old)}
+        changes = {
+            at: new
+            for at, (old, new) in both.items()
+            if (old > 0) != (new > 0)
+            or at in falls
+            and self.warmth(falls[at]) < 1.0
+            or abs(new - old) > slow * max(RESEND_OVER, LEANED_OVER * old)
+        }
         bare = not any(at in want and not self.nodes[at].out for at in table.lines) or not table.proxies
         paced = len(table.waiting) * 2 < len(table.proxies) or self.now - table.changed_at >= ACK_WAIT
         lacks = sum(not both[at][0] for at in changes) > LACKING * len(want)  # weights use up the messages
         usual = paced and (scored or lacks) and not bare and free  # some go alone: all took the others' room
-        due = [at for at in changes if usual or bare or at in fresh
-               or fresh and not (both[at][0] and self.channel.queued)]
+        due = [
+            at
+            for at in changes
+            if usual or bare or at in fresh or fresh and not (both[at][0] and self.channel.queued)
+        ]
         part = RETURNS_PART if not usual else MISSING_PART if lacks else ORDINARY_PART
         new = sum(not both[at][0] for at in due)
         room = self.channel.claim(table.proxies, len(due), part, 1, new) if due else 0
@@ -575,8 +607,9 @@
                 self.orders.admit(table.place, 1 << kind, self.quota(table, kind, level), tries)
 
     def weigh(self) -> None:  # what comes to each table, and to all of them by what strain lets in
-        self.works = {at: {kind: self.offered(one, kind) for kind in one.kinds}
-                      for at, one in self.tables.items()}
+        self.works = {
+            at: {kind: self.offered(one, kind) for kind in one.kinds} for at, one in self.tables.items()
+        }
         self.whole = sum(sum(self.works[at].values()) * table.share for at, table in self.tables.items())
 
     def offered(self, table: Table, kind: int) -> float:  # s of work a second
@@ -601,4 +634,4 @@
         while rates and rates[0] < left / len(rates):
             left -= rates.pop(0)
         rate = left / len(rates) if rates else RATE_OPEN
-        return rate + rate ** 0.5  # reqs come by chance: at the mean itself a good part is refused for good
+        return rate + rate**0.5  # reqs come by chance: at the mean itself a good part is refused for good
--- a/oatcart/proxy/admit.py
+++ b/oatcart/proxy/admit.py
@@ -1,4 +1,6 @@
-"""What is let in: a share or a rate by request kind; who is turned away hears so at once. Free of I/O and clock."""
+"""What is let in: a share or a rate by request kind; who is turned away hears so at once. Free of I/O and
+clock.
+"""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -20,7 +22,8 @@
 
     def __init__(self, uniform: Callable[[float, float], float]) -> None:
         self.uniform = uniform
-        self.buckets: dict[str, tuple[float, float]] = {}  # by kind: reqs that may come now, and when that was
+        # by kind: reqs that may come now, and when that was
+        self.buckets: dict[str, tuple[float, float]] = {}
 
     def by_share(self, level: float) -> Denied | None:
         if level >= 1.0 or self.uniform(0.0, 1.0) < level:
--- a/oatcart/proxy/again.py
+++ b/oatcart/proxy/again.py
@@ -1,8 +1,8 @@
 """Whether a req that failed is tried again. Free of I/O and clock.
 
-A req whose effect may have taken place runs again only where that does no harm. Proof that the first try never ran is
-decided from how its connection ended and what had been sent on it: nothing of the req left this process, or the node
-said in so many words that it did not begin. A reset after the first byte proves nothing.
+A req whose effect may have taken place runs again only where that does no harm. Proof that the first try
+never ran is decided from how its connection ended and what had been sent on it: nothing of the req left this
+process, or the node said in so many words that it did not begin. A reset after the first byte proves nothing.
 """
 
 from dataclasses import dataclass
@@ -18,8 +18,9 @@
 
 
 class Try(NamedTuple):
-    """A try that failed. `sent`: bytes of the req that were handed to the connection; `unbegun`: the node answered that
-    it did not begin (503 with the header that says so); `answered`: bytes of an answer had come; `site`: where it ran."""
+    """A try that failed. `sent`: bytes of the req that were handed to the connection; `unbegun`: the node
+    answered that it did not begin (503 with the header that says so); `answered`: bytes of an answer had
+    come; `site`: where it ran."""
 
     ending: Ending
     sent: int
@@ -30,7 +31,9 @@
 
 @dataclass(slots=True)
 class Req:
-    """What is known of a req: its repeat rule, its site-bound key's window, when it began and must have ended."""
+    """What is known of a req: its repeat rule, its site-bound key's window, when it began and must have
+    ended.
+    """
 
     repeat: int
     began: float
@@ -48,7 +51,9 @@
 
 
 class Budget:
-    """Tries beyond the first never exceed a part of first tries, counted over some seconds: a storm feeds itself else."""
+    """Tries beyond the first never exceed a part of first tries, counted over some seconds: a storm feeds
+    itself else.
+    """
 
     def __init__(self, part: float = BUDGET_PART, least: float = BUDGET_LEAST) -> None:
         self.part, self.least = part, least
--- a/oatcart/proxy/cutoff.py
+++ b/oatcart/proxy/cutoff.py
@@ -1,8 +1,9 @@
 """What a proxy without a conductor may still do on the table it has. Free of I/O and clock.
 
-Lines stay good for long, as nodes change seldom; what the table says of load does not. So it goes on serving, lets nobody
-back in whom it was told to shut out, opens its level to what it knows of itself, and takes its own evidence for a node
-that refuses. What ends it is the grace: past it, a node that refuses is left out until it answers a probe of its own.
+Lines stay good for long, as nodes change seldom; what the table says of load does not. So it goes on serving,
+lets nobody back in whom it was told to shut out, opens its level to what it knows of itself, and takes its
+own evidence for a node that refuses. What ends it is the grace: past it, a node that refuses is left out
+until it answers a probe of its own.
 """
 
 from dataclasses import dataclass, field
@@ -45,15 +46,22 @@
         self.doubts.pop(node, None)
 
     def lines(self, now: float, lines: dict[str, float]) -> dict[str, float]:
-        """The lines that may be used now; where all are in doubt, all of them: some may be back, and none is better."""
+        """The lines that may be used now; where all are in doubt, all of them: some may be back, and none is
+        better.
+        """
         if self.since is None:
             return lines
-        kept = {node: weight for node, weight in lines.items()
-                if node not in self.doubts or now >= self.doubts[node].until}
+        kept = {
+            node: weight
+            for node, weight in lines.items()
+            if node not in self.doubts or now >= self.doubts[node].until
+        }
         return kept or lines
 
     def level(self, now: float, level: float, usual: float) -> float:
-        """The level in force: as told while a conductor is there and for a while after, then slowly open to `usual`."""
+        """The level in force: as told while a conductor is there and for a while after, then slowly open to
+        `usual`.
+        """
         if self.since is None or now - self.since <= self.level_good_for:
             return level
         over = (now - self.since - self.level_good_for) / self.level_good_for
--- a/oatcart/proxy/pools.py
+++ b/oatcart/proxy/pools.py
@@ -1,14 +1,17 @@
-"""Connections to nodes: which is used again, when one is dialled, who waits and for how long. Free of I/O and clock.
+"""Connections to nodes: which is used again, when one is dialled, who waits and for how long. Free of I/O and
+clock.
 
-A connection that a node closes while a req is on its way costs a try, so those that were idle for long, were used often, or
-have a twin that just broke are not used again. Waiting is bounded by what is left of the req's own time.
+A connection that a node closes while a req is on its way costs a try, so those that were idle for long, were
+used often, or have a twin that just broke are not used again. Waiting is bounded by what is left of the req's
+own time.
 """
 
 from collections import deque
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-IDLE_MOST = 10.0  # s; nodes close idle connections after some tens, and the loser of that race pays with a try
+# s; nodes close idle connections after some tens, and the loser of that race pays with a try
+IDLE_MOST = 10.0
 USES_MOST = 1000  # reqs on one connection, so that load moves to where new ones go
 DIALS_MOST = 4  # to one node at a time: a node that comes up is not met by a storm of handshakes
 SUSPECT_FOR = 1.0  # s after one connection broke in which none is dialled ahead of need
@@ -32,14 +35,17 @@
 
 @dataclass(slots=True)
 class Pool:
-    """The connections to one node. `most`: at a time; `queue_most`: reqs that wait. Connections are small numbers."""
+    """The connections to one node. `most`: at a time; `queue_most`: reqs that wait. Connections are small
+    numbers.
+    """
 
     most: int
     queue_most: int
     connections: dict[int, Connection] = field(default_factory=dict)
     dialling: int = 0
     waiting: deque = field(default_factory=deque)  # (req, until), oldest first
-    late: list = field(default_factory=list)  # reqs that waited as long as they may and were not handed back yet
+    # reqs that waited as long as they may and were not handed back yet
+    late: list = field(default_factory=list)
     broke_at: float = -SUSPECT_FOR
     count: int = 0
     draining: bool = False
@@ -63,8 +69,8 @@
         return Answer(WAIT, until=until)
 
     def dialled(self, now: float, up: bool) -> tuple[int, int] | list[int]:
-        """A dial has ended: the req that gets the connection and the connection, an idle one's as req 0; where it failed,
-        the reqs that are refused as nothing else is on its way to them."""
+        """A dial has ended: the req that gets the connection and the connection, an idle one's as req 0;
+        where it failed, the reqs that are refused as nothing else is on its way to them."""
         self.dialling -= 1
         if not up:
             self.broke_at = now
@@ -78,8 +84,8 @@
         return self._hand_on(now, self.count)
 
     def done(self, now: float, place: int, usable: bool) -> tuple[int, int]:
-        """A req's answer is whole, or its connection is not `usable` any more: (req, connection) of who is next, zeros
-        where nobody is, connection 0 where it was closed."""
+        """A req's answer is whole, or its connection is not `usable` any more: (req, connection) of who is
+        next, zeros where nobody is, connection 0 where it was closed."""
         one = self.connections.get(place)
         if one is None:
             return 0, 0
@@ -96,15 +102,19 @@
 
     def close(self, now: float) -> list[int]:
         """Idle connections to close now: too old, older than a break, or of a node that drains."""
-        spare = sorted(place for place, one in self.connections.items() if one.idle_since is not None and (
-            self.draining or now - one.idle_since >= IDLE_MOST or one.idle_since <= self.broke_at))
+        spare = sorted(
+            place
+            for place, one in self.connections.items()
+            if one.idle_since is not None
+            and (self.draining or now - one.idle_since >= IDLE_MOST or one.idle_since <= self.broke_at)
+        )
         for place in spare:
             del self.connections[place]
         return spare
 
     def dials(self, now: float) -> bool:
-        """Whether to dial for those who wait, which counts as a dial: asked after a connection has gone, since who waits
-        for it would wait in vain."""
+        """Whether to dial for those who wait, which counts as a dial: asked after a connection has gone,
+        since who waits for it would wait in vain."""
         self._expire(now)
         if self.draining or len(self.waiting) <= self.dialling or not self._may_dial():
             return False
@@ -112,11 +122,17 @@
         return True
 
     def warms(self, now: float) -> bool:
-        """Whether to dial ahead of need, which counts as a dial: the node is in use, nothing is idle, and it has not just
-        broken a connection."""
+        """Whether to dial ahead of need, which counts as a dial: the node is in use, nothing is idle, and it
+        has not just broken a connection."""
         used = any(one.idle_since is None for one in self.connections.values())
-        if self.draining or not used or self.dialling or self._idle(now) is not None or not self._may_dial() \
-                or now - self.broke_at < SUSPECT_FOR:
+        if (
+            self.draining
+            or not used
+            or self.dialling
+            or self._idle(now) is not None
+            or not self._may_dial()
+            or now - self.broke_at < SUSPECT_FOR
+        ):
             return False
         self.dialling += 1
         return True
@@ -139,8 +155,13 @@
 
     def _idle(self, now: float) -> int | None:
         """The idle connection used last, if one is to be believed."""
-        found = [(one.idle_since, place) for place, one in self.connections.items() if one.idle_since is not None
-                 and now - one.idle_since < IDLE_MOST and one.idle_since > self.broke_at]
+        found = [
+            (one.idle_since, place)
+            for place, one in self.connections.items()
+            if one.idle_since is not None
+            and now - one.idle_since < IDLE_MOST
+            and one.idle_since > self.broke_at
+        ]
         return max(found)[1] if found else None
 
     def _use(self, place: int) -> None:
--- a/oatcart/proxy/tables.py
+++ b/oatcart/proxy/tables.py
@@ -1,7 +1,7 @@
 """What a proxy was told: lines, levels and ways by request kind, nodes that are shut out. Free of I/O.
 
-An update may come in parts and takes effect as a whole; what cannot be used takes no effect at all, and its stream is to
-be reset. Source: the operators' protocol, orders on a stream.
+An update may come in parts and takes effect as a whole; what cannot be used takes no effect at all, and its
+stream is to be reset. Source: the operators' protocol, orders on a stream.
 """
 
 from collections.abc import Collection, Iterable
@@ -26,7 +26,9 @@
 
 
 class Tables:
-    """All that one proxy holds. `kinds`: the request kinds there are; `by_rate`: whether a level is reqs a second."""
+    """All that one proxy holds. `kinds`: the request kinds there are; `by_rate`: whether a level is reqs a
+    second.
+    """
 
     def __init__(self, kinds: Collection[str], by_rate: bool = False) -> None:
         self.by_kind = {kind: Table() for kind in kinds}
@@ -36,8 +38,8 @@
         self.version: int | None = None
 
     def part(self, part: dict, listed: Collection[str]) -> list[int]:
-        """Take one part of an update; hands back the marks that are now to be answered, once the update is whole.
-        Raises Unfit, after which the parts of this update are forgotten."""
+        """Take one part of an update; hands back the marks that are now to be answered, once the update is
+        whole. Raises Unfit, after which the parts of this update are forgotten."""
         try:
             self._check(part, listed)
             if len(self.parts) + 1 > PARTS_MOST:
@@ -52,8 +54,8 @@
         return [mark for one in parts for mark in self._apply(one)]
 
     def broken(self) -> None:
-        """The stream is over: what came of an update without its end never takes effect; the rest stays, and nodes
-        that are shut out stay so over a change of streams."""
+        """The stream is over: what came of an update without its end never takes effect; the rest stays, and
+        nodes that are shut out stay so over a change of streams."""
         self.parts = []
 
     def _check(self, part: dict, listed: Collection[str]) -> None:
--- a/oatcart/records.py
+++ b/oatcart/records.py
@@ -1,7 +1,7 @@
 """What the decision module keeps of nodes, proxies, tables and sent rounds.
 
-The records hold state alone: every decision and every tuned value, the values that a new node starts with among
-them, stands in `oatcart/policy.py`. Times are seconds of the host's clock.
+The records hold state alone: every decision and every tuned value, the values that a new node starts with
+among them, stands in `oatcart/policy.py`. Times are seconds of the host's clock.
 """
 
 from collections import deque
@@ -76,12 +76,13 @@
     share: float = 1.0  # of the work offered that is let in
     cut_at: float = LONG_AGO
     again: bool = False  # another try after any failure pays
-    levels: dict[int, tuple[float, int]] = field(default_factory=dict)  # by kind: share let in, way of trying again
+    # by kind: share let in, way of trying again
+    levels: dict[int, tuple[float, int]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
 class SentRound:
-    """A round that sent messages: what has left the channel, in lines since the start, as its answers come."""
+    """A round that sent messages, and what has left the channel by its answers, in lines since the start."""
 
     mark: int
     left: float  # once the round before it is answered; then by the answers of this one
--- a/oatcart/tables.py
+++ b/oatcart/tables.py
@@ -169,7 +169,9 @@
         """A whole table or what changed in it, and the nodes that its lines bring."""
         table = self.tables[at]
         lines = table.lines if whole else table.changed
-        levels = table.levels.keys() | self.for_all.keys() if whole else table.relevelled | self.all_relevelled
+        levels = (
+            table.levels.keys() | self.for_all.keys() if whole else table.relevelled | self.all_relevelled
+        )
         parts = [Part(self._named(kinds), whole, tuple(lines.items()))] if whole or lines else []
         parts += self._levels(table, [kind for kind in _places(kinds) if kind in levels])
         return parts, [node for node, weight in lines.items() if weight > 0]
@@ -179,7 +181,7 @@
         return min(level, self.for_all.get(kind, (level,))[0]), tries
 
     def standing(self, at: int, kind: int) -> tuple[float, int] | None:
-        """The level and the way of trying again that hold for a kind in a table; None where none was ordered."""
+        """The level and the way of trying again that hold for a kind in a table; None where not ordered."""
         table = self._table(at)
         return self._level(table, kind) if kind in table.levels or kind in self.for_all else None
 
@@ -193,14 +195,19 @@
 
     def _with_turned(self, proxy: Proxy, met: list[int], parts: list[Part]) -> list[Part]:
         """A proxy keeps what any conductor withdrew, so each node that it meets is told as it stands now."""
-        turned = {node: out for node in met
-                  if proxy.shut.get(node, False if proxy.blank or node in self.dropped else None)
-                  != (out := node in self.shut)}
+        turned = {
+            node: out
+            for node in met
+            if proxy.shut.get(node, False if proxy.blank or node in self.dropped else None)
+            != (out := node in self.shut)
+        }
         if turned:
             proxy.shut |= turned
             parts = parts or [Part()]
-            parts[0] = parts[0]._replace(out=tuple(node for node, out in turned.items() if out),
-                                         back=tuple(node for node, out in turned.items() if not out))
+            parts[0] = parts[0]._replace(
+                out=tuple(node for node, out in turned.items() if out),
+                back=tuple(node for node, out in turned.items() if not out),
+            )
         return parts
 
     def _named(self, kinds: int) -> tuple[int, ...]:
--- a/oatcart/trace/__main__.py
+++ b/oatcart/trace/__main__.py
@@ -1,4 +1,4 @@
-"""Traces: check, summarise, cut, merge, strip, show. `python -m oatcart.trace COMMAND --help` tells of each."""
+"""Traces: check, summarise, cut, merge, strip, show. `python -m oatcart.trace COMMAND --help` explains."""
 
 import argparse
 import json
@@ -21,14 +21,19 @@
 LACKING = 1  # where something is missing, broken or different
 
 
-def read(paths: Iterable[str], first: float = -inf, last: float = inf) -> tuple[list[Record], list[str], dict]:
+def read(
+    paths: Iterable[str], first: float = -inf, last: float = inf
+) -> tuple[list[Record], list[str], dict]:
     """All records of some files of one instance, in order; what is missing; the first file's facts."""
     records, missing, facts = [], [], None
     for path in paths:
         with Trace(path) as trace:
             records += trace.records(first, last, Progress(path, sys.stderr.isatty()))
             missing += [f"{path}: {what}" for what in trace.missing]
-            missing += [f"{path}: {count} records of kind {kind}, unknown here" for kind, count in trace.skipped.items()]
+            missing += [
+                f"{path}: {count} records of kind {kind}, unknown here"
+                for kind, count in trace.skipped.items()
+            ]
             facts = facts or trace.facts
     return records, missing, facts or {}
 
@@ -43,7 +48,9 @@
         percent = 100 * (done + 1) // of
         if self.shown and percent != self.percent and time.monotonic() - self.began > PROGRESS_AFTER:
             self.percent = percent
-            print(f"\r{self.path}: {percent}%", end="\n" if percent == 100 else "", file=sys.stderr, flush=True)
+            print(
+                f"\r{self.path}: {percent}%", end="\n" if percent == 100 else "", file=sys.stderr, flush=True
+            )
 
 
 def write(path: str, facts: dict, records: Iterable[Record], fields: dict) -> int:
@@ -60,7 +67,9 @@
 
         rows = []
         for record in records:
-            rows.append((record.kind, *(record.fields.get(name, DEFAULTS[how]) for name, how in fields[record.kind])))
+            rows.append(
+                (record.kind, *(record.fields.get(name, DEFAULTS[how]) for name, how in fields[record.kind]))
+            )
             count += 1
             if len(rows) == BLOCK_RECORDS:
                 flush(rows)
@@ -93,9 +102,17 @@
     for path in args.files:
         records, missing, facts = read([path])
         played = again(iter(records)) if args.again else None
-        what = {"file": path, "facts": facts, "records": len(records), "missing": missing,
-                "again": played and dict(zip(("rounds", "orders", "differs"), played, strict=True))}
-        lines = [f"{path}: {len(records)} records of {facts.get('instance')}, {len(missing)} faults", *missing]
+        what = {
+            "file": path,
+            "facts": facts,
+            "records": len(records),
+            "missing": missing,
+            "again": played and dict(zip(("rounds", "orders", "differs"), played, strict=True)),
+        }
+        lines = [
+            f"{path}: {len(records)} records of {facts.get('instance')}, {len(missing)} faults",
+            *missing,
+        ]
         if played:
             lines.append(f"{played[0]} rounds played again, {played[1]} orders: {played[2] or 'identical'}")
         told(what, lines, args.json)
@@ -107,17 +124,27 @@
     records, missing, _ = read(args.files, args.first, args.last)
     start = next((one.fields for one in records if one.kind == START), None)
     found = summary(records, may_repeat(start) if start else None)
-    lines = [f"{found['first']:.3f} to {found['last']:.3f}; " + ", ".join(
-        f"{count} {kind}" for kind, count in found["records"].items())]
+    lines = [
+        f"{found['first']:.3f} to {found['last']:.3f}; "
+        + ", ".join(f"{count} {kind}" for kind, count in found["records"].items())
+    ]
     for name, rows in found["reqs"].items():
-        lines += [f"{name:5} {one or '-':20} " + "  ".join(f"{what} {value:g}" for what, value in sorted(counts.items()))
-                  for one, counts in rows.items()]
+        lines += [
+            f"{name:5} {one or '-':20} "
+            + "  ".join(f"{what} {value:g}" for what, value in sorted(counts.items()))
+            for one, counts in rows.items()
+        ]
     lines += [f"decided {one['count']:8} {one['decision']} {one['reason']}" for one in found["decisions"]]
     lines += [f"shed {count} {kind}" for kind, count in found["shed"].items()]
-    lines += [f"the clock stepped by {one['stepped']:.3f} s at {one['at']:.3f}" for one in found["clock_steps"]]
+    lines += [
+        f"the clock stepped by {one['stepped']:.3f} s at {one['at']:.3f}" for one in found["clock_steps"]
+    ]
     lines += [f"RULE {one['rule']} BROKEN: {one['what']}" for one in found["breaches"]]
-    lines += [f"in doubt: {one['kind']} {one['key']} was handed to nodes {len(one['ran'])} times: {'; '.join(one['ran'])}"
-              for one in found["doubts"]]
+    lines += [
+        f"in doubt: {one['kind']} {one['key']} was handed to nodes {len(one['ran'])} times: "
+        f"{'; '.join(one['ran'])}"
+        for one in found["doubts"]
+    ]
     told(found, lines, args.json)
     return complain(missing) or (LACKING if found["breaches"] else 0)
 
@@ -125,8 +152,12 @@
 def do_cut(args: argparse.Namespace) -> int:
     records, missing, facts = read(args.files)
     fields = FIELDS_MERGED if facts.get("merged") else FIELDS
-    count = write(args.out, facts | {"cut": [args.first, args.last]}, cut(
-        records, args.first, args.last, set(args.node), set(args.proxy), set(args.kind)), fields)
+    count = write(
+        args.out,
+        facts | {"cut": [args.first, args.last]},
+        cut(records, args.first, args.last, set(args.node), set(args.proxy), set(args.kind)),
+        fields,
+    )
     told({"records": count}, [f"{args.out}: {count} of {len(records)} records"], args.json)
     return complain(missing)
 
@@ -145,28 +176,57 @@
         print(f"--reference: {reference} is none of {', '.join(traces)}", file=sys.stderr)
         return BAD
     records, clocks = merge(traces, reference)
-    write(args.out, {"merged": list(traces), "reference": reference, "instance": reference}, records, FIELDS_MERGED)
-    known = {name: {"offset_s": one.offset, "drift_ppm": one.drift * 1e6, "bound_s": max(one.ends)}
-             for name, one in clocks.by.items()}
-    lines = [f"{name}: offset {one['offset_s']:+.6f} s, drift {one['drift_ppm']:+.1f} ppm, within {one['bound_s']:.6f} s"
-             for name, one in known.items()]
+    write(
+        args.out,
+        {"merged": list(traces), "reference": reference, "instance": reference},
+        records,
+        FIELDS_MERGED,
+    )
+    known = {
+        name: {"offset_s": one.offset, "drift_ppm": one.drift * 1e6, "bound_s": max(one.ends)}
+        for name, one in clocks.by.items()
+    }
+    lines = [
+        f"{name}: offset {one['offset_s']:+.6f} s, drift {one['drift_ppm']:+.1f} ppm, "
+        f"within {one['bound_s']:.6f} s"
+        for name, one in known.items()
+    ]
     unsure = sum(not one.fields["certain"] for one in records)
-    lines += [*clocks.contradictions, f"{args.out}: {len(records)} records, the place of {unsure} is not certain"]
-    told({"clocks": known, "contradictions": clocks.contradictions, "records": len(records), "uncertain": unsure},
-         lines, args.json)
+    lines += [
+        *clocks.contradictions,
+        f"{args.out}: {len(records)} records, the place of {unsure} is not certain",
+    ]
+    told(
+        {
+            "clocks": known,
+            "contradictions": clocks.contradictions,
+            "records": len(records),
+            "uncertain": unsure,
+        },
+        lines,
+        args.json,
+    )
     return complain(missing)
 
 
 def do_strip(args: argparse.Namespace) -> int:
     records, missing, facts = read(args.files)
-    strip = Strip(secrets.token_bytes(32))  # forgotten with this process, so that no two exports can be linked
+    # forgotten with this process, so that no two exports can be linked
+    strip = Strip(secrets.token_bytes(32))
     kept = {"instance": strip._word("instance", facts.get("instance", "")), "stripped": True}
     fields = FIELDS_MERGED if facts.get("merged") else FIELDS
-    count = write(args.out, kept | ({"merged": True} if facts.get("merged") else {}),
-                  map(strip.record, records), fields)
-    told({"records": count, "replaced": strip.replaced, "dropped": strip.dropped},
-         [f"{args.out}: {count} records", *(f"replaced {many} {what}" for what, many in strip.replaced.items()),
-          *(f"dropped {many} {what}" for what, many in strip.dropped.items() if many)], args.json)
+    count = write(
+        args.out, kept | ({"merged": True} if facts.get("merged") else {}), map(strip.record, records), fields
+    )
+    told(
+        {"records": count, "replaced": strip.replaced, "dropped": strip.dropped},
+        [
+            f"{args.out}: {count} records",
+            *(f"replaced {many} {what}" for what, many in strip.replaced.items()),
+            *(f"dropped {many} {what}" for what, many in strip.dropped.items() if many),
+        ],
+        args.json,
+    )
     return complain(missing)
 
 
@@ -196,24 +256,48 @@
     def command(name: str, do, help: str, out: bool = False, span: bool = False) -> argparse.ArgumentParser:
         one = commands.add_parser(name, help=help, description=help)
         one.set_defaults(do=do)
-        one.add_argument("files", nargs="+", help="traces; several of one instance are read one after the other")
+        one.add_argument(
+            "files", nargs="+", help="traces; several of one instance are read one after the other"
+        )
         one.add_argument("--json", action="store_true", help="one JSON object in place of text")
         if out:
             one.add_argument("--out", required=True, help="the trace to write; it must not be there yet")
         if span:
-            one.add_argument("--from", dest="first", type=float, default=-inf, help="s of the instance's clock")
-            one.add_argument("--to", dest="last", type=float, default=inf, help="s; records at it are left out")
+            one.add_argument(
+                "--from", dest="first", type=float, default=-inf, help="s of the instance's clock"
+            )
+            one.add_argument(
+                "--to", dest="last", type=float, default=inf, help="s; records at it are left out"
+            )
         return one
 
-    one = command("check", do_check, "What is whole, what is missing, and whether recorded rounds play again the same.")
+    one = command(
+        "check", do_check, "What is whole, what is missing, and whether recorded rounds play again the same."
+    )
     one.add_argument("--again", action="store_true", help="hand the recorded rounds to a fresh conductor")
-    command("summary", do_summary, "Reqs by kind, zone and node; decisions by reason; rules seen broken.", span=True)
-    one = command("cut", do_cut, "A part of a trace by time, node, proxy or request kind.", out=True, span=True)
+    command(
+        "summary",
+        do_summary,
+        "Reqs by kind, zone and node; decisions by reason; rules seen broken.",
+        span=True,
+    )
+    one = command(
+        "cut", do_cut, "A part of a trace by time, node, proxy or request kind.", out=True, span=True
+    )
     for name in "node", "proxy", "kind":
-        one.add_argument(f"--{name}", action="append", default=[], help=f"only this {name}; may be given again")
-    one = command("merge", do_merge, "Several instances' traces as one, in the clock of one of them.", out=True)
+        one.add_argument(
+            f"--{name}", action="append", default=[], help=f"only this {name}; may be given again"
+        )
+    one = command(
+        "merge", do_merge, "Several instances' traces as one, in the clock of one of them.", out=True
+    )
     one.add_argument("--reference", default="", help="the instance whose clock counts; else the first file's")
-    command("strip", do_strip, "A trace for outsiders: names and keys become pseudonyms of this export alone.", out=True)
+    command(
+        "strip",
+        do_strip,
+        "A trace for outsiders: names and keys become pseudonyms of this export alone.",
+        out=True,
+    )
     one = command("show", do_show, "One req's or one node's story.", span=True)
     one.add_argument("--key", default="", help="a req's unique key, in hex")
     one.add_argument("--req", default="", help="a req as PROXY:NUMBER")
--- a/oatcart/trace/configuration.py
+++ b/oatcart/trace/configuration.py
@@ -18,7 +18,13 @@
     room: int = 81_920
 
 
-FIELDS = {"folder": name, "file_size": size, "file_for": span, "budget": size, "room": whole(1000, 10_000_000)}
+FIELDS = {
+    "folder": name,
+    "file_size": size,
+    "file_for": span,
+    "budget": size,
+    "room": whole(1000, 10_000_000),
+}
 
 
 def read(path: str | Path) -> Tracing:
@@ -35,4 +41,3 @@
     if wrong:
         raise Wrong("\n".join(wrong))
     return Tracing(**found)
-
--- a/oatcart/trace/format.py
+++ b/oatcart/trace/format.py
@@ -1,14 +1,13 @@
 """The file's grammar in code: header, blocks, footer. Bytes in, bytes out; no files here.
 
-    file    = header block* [footer]
-    header  = "OATTRACE" u16 version, u32 length, msgpack facts, u64 xxh64 of all before
-    block   = "OTB1" u32 length, u32 count, f64 first, f64 last, u64 number, u64 xxh64 of (these fields, payload), payload
-    payload = zstd(msgpack of [names, [[kind, fields, columns]...], order])
-    footer  = "OTX1" zstd(msgpack of [[offset, length, count, first, last]...]), u64 xxh64, u32 length, "OTXE"
-
-All numbers are little-endian; `length` counts the payload. A block stands alone: its names and the schema of its
-records are in it. A column is [coding, bytes]: numbers less their least, or the steps between them, in the fewest
-bytes a number, each byte's plane together, as zstd finds most there.
+    file    = header block* [footer] header  = "OATTRACE" u16 version, u32 length, msgpack facts, u64 xxh64 of
+    all before block   = "OTB1" u32 length, u32 count, f64 first, f64 last, u64 number, u64 xxh64 of (these
+    fields, payload), payload payload = zstd(msgpack of [names, [[kind, fields, columns]...], order]) footer
+    = "OTX1" zstd(msgpack of [[offset, length, count, first, last]...]), u64 xxh64, u32 length, "OTXE"
+
+All numbers are little-endian; `length` counts the payload. A block stands alone: its names and the schema of
+its records are in it. A column is [coding, bytes]: numbers less their least, or the steps between them, in
+the fewest bytes a number, each byte's plane together, as zstd finds most there.
 """
 
 import gc
@@ -27,7 +26,8 @@
 VERSION = 1  # of the grammar; a reader refuses a higher one, fields and kinds may come and go within it
 HEAD, HEADER, TAIL = struct.Struct("<8sHI"), struct.Struct("<4sIIddQQ"), struct.Struct("<QI4s")
 LEVEL = 6  # of zstd: 10 makes blocks 1% smaller and nearly doubles what they cost
-FACTS_MOST, PAYLOAD_MOST, PLAIN_MOST = 1 << 20, 64 << 20, 512 << 20  # bytes; what is larger is no trace of ours
+# bytes; what is larger is no trace of ours
+FACTS_MOST, PAYLOAD_MOST, PLAIN_MOST = 1 << 20, 64 << 20, 512 << 20
 PLAIN, STEPS, RAW = 0, 1, 2  # codings of a column of numbers
 MICRO = 1e6
 
@@ -65,11 +65,12 @@
         raise Bad("the header is cut")
     if struct.unpack_from("<Q", data, end)[0] != xxhash.xxh64_intdigest(data[:end]):
         raise Bad("the header is spoilt")
-    return msgpack.unpackb(data[HEAD.size:end]), end + 8
+    return msgpack.unpackb(data[HEAD.size : end]), end + 8
 
 
 # -- columns
 
+
 def _numbers(values: np.ndarray) -> list:
     """Whole numbers as a column, the smaller of two codings."""
     if not len(values):
@@ -129,7 +130,7 @@
     sizes = _read_numbers(column[:-1], count).tolist()
     out, at, data = [], 0, column[-1]
     for size in sizes:
-        part = data[at:at + size]
+        part = data[at : at + size]
         out.append(msgpack.unpackb(part, use_list=False, strict_map_key=False) if kind == "any" else part)
         at += size
     return out
@@ -137,6 +138,7 @@
 
 # -- blocks
 
+
 def block(number: int, records: Sequence[tuple], fields: dict = FIELDS) -> bytes:
     """A whole block of records as `records.make` makes them; their order is kept."""
     by_kind: dict[str, list] = {}
@@ -149,8 +151,14 @@
         columns = list(zip(*rows, strict=True))[1:]
         if len(columns) != len(fields[kind]):
             raise Bad(f"a record of kind {kind} has {len(columns)} fields, not {len(fields[kind])}")
-        parts.append([kind, [list(one) for one in fields[kind]], len(rows),
-                      [_column(how, column, names) for (_, how), column in zip(fields[kind], columns, strict=True)]])
+        parts.append(
+            [
+                kind,
+                [list(one) for one in fields[kind]],
+                len(rows),
+                [_column(how, column, names) for (_, how), column in zip(fields[kind], columns, strict=True)],
+            ]
+        )
     order = _numbers(np.asarray([places[record[0]] for record in records], "<i8"))
     body = zstandard.ZstdCompressor(level=LEVEL).compress(msgpack.packb([list(names), parts, order]))
     times = [record[1] for record in records]
@@ -171,13 +179,16 @@
 
 def whole(data: bytes, at: int, head: Head) -> bool:
     """Whether a block is as it was written."""
-    body = data[at + HEADER.size:at + HEADER.size + head.length]
-    return len(body) == head.length and xxhash.xxh64_intdigest(data[at + 4:at + HEADER.size - 8] + body) == head.checksum
+    body = data[at + HEADER.size : at + HEADER.size + head.length]
+    return (
+        len(body) == head.length
+        and xxhash.xxh64_intdigest(data[at + 4 : at + HEADER.size - 8] + body) == head.checksum
+    )
 
 
 def read_block(payload: bytes, known: dict = FIELDS_MERGED) -> tuple[list[Record], dict[str, int]]:
-    """The records of a block in their order, and how many of unknown kinds were skipped, by kind. A field that is not
-    known is left out, one that the file lacks is missing."""
+    """The records of a block in their order, and how many of unknown kinds were skipped, by kind. A field
+    that is not known is left out, one that the file lacks is missing."""
     collects = gc.isenabled()
     gc.disable()  # thousands of records at once, none of them rubbish: looking through them doubles the time
     try:
@@ -190,14 +201,26 @@
                 rows.append(None)
                 continue
             ours = {name for name, _ in known[kind]}
-            kept = [(name, _read_column(how, column, count, names)) for (name, how), column
-                    in zip(fields, columns, strict=True) if name in ours]
+            kept = [
+                (name, _read_column(how, column, count, names))
+                for (name, how), column in zip(fields, columns, strict=True)
+                if name in ours
+            ]
             titles = [name for name, _ in kept]
             columns = zip(*(values for _, values in kept), strict=True)
-            rows.append(iter([Record(kind, dict(zip(titles, values))) for values in columns]))  # noqa: B905: each fits
+            rows.append(iter([Record(kind, dict(zip(titles, values, strict=False))) for values in columns]))
         total = sum(part[2] for part in parts)
-        return [next(rows[place]) for place in _read_numbers(order, total).tolist() if rows[place] is not None], skipped
-    except (zstandard.ZstdError, msgpack.UnpackException, ValueError, TypeError, IndexError, KeyError) as error:
+        return [
+            next(rows[place]) for place in _read_numbers(order, total).tolist() if rows[place] is not None
+        ], skipped
+    except (
+        zstandard.ZstdError,
+        msgpack.UnpackException,
+        ValueError,
+        TypeError,
+        IndexError,
+        KeyError,
+    ) as error:
         raise Bad(f"a block cannot be read: {error}") from None
     finally:
         if collects:
@@ -219,8 +242,8 @@
         raise Bad("no footer")
     if len(tail) < size:
         raise Short(size)
-    body = tail[-size + 4:-TAIL.size]
-    if tail[-size:-size + 4] != FOOTER or xxhash.xxh64_intdigest(body) != checksum:
+    body = tail[-size + 4 : -TAIL.size]
+    if tail[-size : -size + 4] != FOOTER or xxhash.xxh64_intdigest(body) != checksum:
         raise Bad("the footer is spoilt")
     return [tuple(one) for one in msgpack.unpackb(zstandard.ZstdDecompressor().decompress(body))], size
 
--- a/oatcart/trace/generate.py
+++ b/oatcart/trace/generate.py
@@ -1,5 +1,5 @@
-"""A seeded hour of reqs and rounds, as a fleet would leave it; for tests and the benchmark. Small, and no model of load:
-the rounds are a real conductor's, the reqs are drawn by its tables' weights."""
+"""A seeded hour of reqs and rounds, as a fleet would leave it; for tests and the benchmark. Small, and no
+model of load: the rounds are a real conductor's, the reqs are drawn by its tables' weights."""
 
 from collections.abc import Iterator
 from random import Random
@@ -9,8 +9,11 @@
 from oatcart.trace.records import DENIED, DONE, ERRORED, REQ, TRY, make
 from oatcart.trace.tap import Tap, start_record
 
-KINDS = [("lookup", our.ReqKind(1.0, 0.5, our.REPLAYABLE), 0.8), ("slot-update", our.ReqKind(2.0, 1.0, our.UNIQUED), 0.15),
-         ("fee-charge", our.ReqKind(3.0, 1.0, our.NON_REPLAYABLE), 0.05)]
+KINDS = [
+    ("lookup", our.ReqKind(1.0, 0.5, our.REPLAYABLE), 0.8),
+    ("slot-update", our.ReqKind(2.0, 1.0, our.UNIQUED), 0.15),
+    ("fee-charge", our.ReqKind(3.0, 1.0, our.NON_REPLAYABLE), 0.05),
+]
 ZONES = ["east", "west"]
 NODES, PROXIES, PERIOD = 12, 150, 1.0  # nodes, proxies, s between reports
 
@@ -34,20 +37,31 @@
         return lambda *args: None
 
 
-def records(seed: int, seconds: float, a_second: float, instance: str = "n0", begin: float = 1000.0) -> Iterator[tuple]:
+def records(
+    seed: int, seconds: float, a_second: float, instance: str = "n0", begin: float = 1000.0
+) -> Iterator[tuple]:
     """Records as a writer takes them, in order of time: a conductor's rounds, and reqs of its proxies."""
     rng, out = Random(seed), []
-    told = dict(kinds=[kind for _, kind, _ in KINDS], roll=our.RollManners(),
-                channel=our.ChannelLimits(1e5, 4, 1e5, 40, 10.0), cold=our.ColdLimits(16.0, 0.2, 4.0),
-                report_period=PERIOD, admitting=our.BY_SHARE, crossing_price=0.1, may_probe=True)
+    told = dict(
+        kinds=[kind for _, kind, _ in KINDS],
+        roll=our.RollManners(),
+        channel=our.ChannelLimits(1e5, 4, 1e5, 40, 10.0),
+        cold=our.ColdLimits(16.0, 0.2, 4.0),
+        report_period=PERIOD,
+        admitting=our.BY_SHARE,
+        crossing_price=0.1,
+        may_probe=True,
+    )
     names = {place: f"{ZONES[place % 2]}-{place:02}" for place in range(NODES)}
     host, now, wall = _Host(), begin, 1.7e9
     tap = Tap(Conductor(seed=seed, **told).round, out.append, lambda: now + wall)
     yield start_record(now, instance, seed, told, {"kinds": [name for name, *_ in KINDS], "zones": ZONES})
     for place, name in names.items():
         tap.name(now, place, name)
-    came = [("listed", True, [(place, place % 2, 0.0, our.READY, 1.0) for place in range(NODES)]),
-            *(("joined", proxy, proxy % 2, a_second / PROXIES, True) for proxy in range(PROXIES))]
+    came = [
+        ("listed", True, [(place, place % 2, 0.0, our.READY, 1.0) for place in range(NODES)]),
+        *(("joined", proxy, proxy % 2, a_second / PROXIES, True) for proxy in range(PROXIES)),
+    ]
     ids, look, due, next_req = [0] * PROXIES, begin, begin, begin
     met: dict[tuple, list] = {}
     shares = [share for *_, share in KINDS]
@@ -61,8 +75,19 @@
         look += 0.25
         if now >= due:
             due += PERIOD
-            came += [("met", node, zone, PERIOD, took / max(1, good), errored, good + errored, (None, rng.uniform(.2, .7), None))
-                     for (node, zone), (good, errored, took) in sorted(met.items())]
+            came += [
+                (
+                    "met",
+                    node,
+                    zone,
+                    PERIOD,
+                    took / max(1, good),
+                    errored,
+                    good + errored,
+                    (None, rng.uniform(0.2, 0.7), None),
+                )
+                for (node, zone), (good, errored, took) in sorted(met.items())
+            ]
             came += [("came", proxy, 0, rng.randrange(1, 8), 0, PERIOD) for proxy in range(PROXIES)]
             met.clear()
         came += [("applied", proxy, mark, 0.05) for mark in host.marks for proxy in range(PROXIES)]
@@ -73,7 +98,9 @@
         out.clear()
 
 
-def _req(rng: Random, now: float, ids: list[int], names: dict, host: _Host, met: dict, shares: list) -> Iterator[tuple]:
+def _req(
+    rng: Random, now: float, ids: list[int], names: dict, host: _Host, met: dict, shares: list
+) -> Iterator[tuple]:
     proxy, at = rng.randrange(PROXIES), rng.choices(range(len(KINDS)), shares)[0]
     kind, req, _ = KINDS[at]
     ids[proxy] += 1
@@ -94,6 +121,18 @@
         if fails and tries == 1 and req.repeat == our.REPLAYABLE:
             yield make(TRY, now, ids[proxy], key, who, kind, tries, names[node], "RESET", took)
             continue
-        yield make(REQ, now, ids[proxy], key, who, kind, ZONES[proxy % 2], names[node], ERRORED if fails else DONE,
-                   took, tries, req.value)
+        yield make(
+            REQ,
+            now,
+            ids[proxy],
+            key,
+            who,
+            kind,
+            ZONES[proxy % 2],
+            names[node],
+            ERRORED if fails else DONE,
+            took,
+            tries,
+            req.value,
+        )
         return
--- a/oatcart/trace/hook.py
+++ b/oatcart/trace/hook.py
@@ -14,21 +14,38 @@
 END_WITHIN = 1.0  # s for the last records to be written when the process is told to end
 
 
-def traced(make_rounds: Callable[..., Rounds], cfg: dict, tracing: Tracing, made: Callable[[Writer], None]) -> Callable:
-    """A maker of rounds, for `net.start.assemble`, whose module's calls are all noted, the first one too. `made` gets
-    the writer, which has to be started."""
+def traced(
+    make_rounds: Callable[..., Rounds], cfg: dict, tracing: Tracing, made: Callable[[Writer], None]
+) -> Callable:
+    """A maker of rounds, for `net.start.assemble`, whose module's calls are all noted, the first one too.
+    `made` gets the writer, which has to be started."""
     instance = "".join(one if one.isalnum() else "-" for one in cfg.get("name") or "conductor")
 
     def make(*args: object) -> Rounds:
         rounds = make_rounds(*args)
         begin, settings = rounds.start, cfg["settings"]
-        writer = Writer(tracing.folder, instance, {"format": "oatcart"}, lambda: rounds.loop.clock() + rounds.offset,
-                        rounds.log.say, tracing.file_size, tracing.file_for, tracing.budget, tracing.room)
+        writer = Writer(
+            tracing.folder,
+            instance,
+            {"format": "oatcart"},
+            lambda: rounds.loop.clock() + rounds.offset,
+            rounds.log.say,
+            tracing.file_size,
+            tracing.file_for,
+            tracing.budget,
+            tracing.room,
+        )
 
         def start(call: Callable, watcher: object, prober: object) -> None:
-            writer.starts = [start_record(
-                rounds.loop.now + rounds.offset, instance, int(cfg["seed"], 16), socket_records(settings),
-                {"kinds": rounds.codec.kind_names, "zones": list(rounds.codec.zones)})]
+            writer.starts = [
+                start_record(
+                    rounds.loop.now + rounds.offset,
+                    instance,
+                    int(cfg["seed"], 16),
+                    socket_records(settings),
+                    {"kinds": rounds.codec.kind_names, "zones": list(rounds.codec.zones)},
+                )
+            ]
             tap = Tap(call, writer.put, time.time, lambda rest: rounds.came.extendleft(reversed(rest)))
             place = rounds.codec.place
 
@@ -49,6 +66,7 @@
 
 def end_with(writer: Writer) -> None:
     """From now on a signal to end has the last records written first, for a second at most."""
+
     def end(*_: object) -> None:
         writer.stop(END_WITHIN)
         os._exit(0)
--- a/oatcart/trace/merge.py
+++ b/oatcart/trace/merge.py
@@ -1,9 +1,10 @@
-"""Traces of several instances as one: whose clock is off by what, what came before what, what cannot be said. No I/O.
+"""Traces of several instances as one: whose clock is off by what, what came before what, what cannot be said.
+No I/O.
 
-Each instance's clock is taken to be a straight line of the reference's: offset and drift. A message that was sent by one
-and met by another says that the sending was not after the meeting; all of these together are linear, and a linear
-program finds the lines that leave every one of them the most room, and how far each could lie off (the bound). An order
-is claimed only where the bounds support it.
+Each instance's clock is taken to be a straight line of the reference's: offset and drift. A message that was
+sent by one and met by another says that the sending was not after the meeting; all of these together are
+linear, and a linear program finds the lines that leave every one of them the most room, and how far each
+could lie off (the bound). An order is claimed only where the bounds support it.
 """
 
 from collections.abc import Iterable, Iterator, Sequence
@@ -32,8 +33,9 @@
 
 @dataclass(slots=True)
 class Clock:
-    """An instance's clock as the reference's: `time + offset + drift * (time - middle)`. `lows` and `highs`: how far the
-    time at `first` and `last` may lie off; inf where nothing ties the instance to the reference."""
+    """An instance's clock as the reference's: `time + offset + drift * (time - middle)`. `lows` and `highs`:
+    how far the time at `first` and `last` may lie off; inf where nothing ties the instance to the reference.
+    """
 
     offset: float = 0.0
     drift: float = 0.0
@@ -46,8 +48,8 @@
         return at + self.offset + self.drift * (at - self.middle)
 
     def bound(self, at: float) -> float:
-        """By how much the common time may be off: the width between two ends is convex, so a line over it is safe;
-        beyond the ends it grows with the drift that is left."""
+        """By how much the common time may be off: the width between two ends is convex, so a line over it is
+        safe; beyond the ends it grows with the drift that is left."""
         if self.last <= self.first:
             return max(self.ends)
         part = (at - self.first) / (self.last - self.first)
@@ -68,7 +70,9 @@
 
 
 def ends(instance: str, record: Record) -> Iterator[tuple[str, bytes]]:
-    """The ends of messages that a record tells of, (OUT or IN, name): a round's marks and acknowledgements too."""
+    """The ends of messages that a record tells of, (OUT or IN, name): a round's marks and acknowledgements
+    too.
+    """
     if record.kind in (OUT, IN):
         yield record.kind, record.fields["link"]
     elif record.kind == ROUND:
@@ -102,13 +106,17 @@
         return found
     found = sorted(found, key=lambda one: one.sent)
     edges = np.linspace(0, len(found), LINKS_MOST + 1).astype(int)
-    return [min(found[a:b], key=lambda one: one.met - one.sent) for a, b in zip(edges, edges[1:], strict=False) if b > a]
+    return [
+        min(found[a:b], key=lambda one: one.met - one.sent)
+        for a, b in zip(edges, edges[1:], strict=False)
+        if b > a
+    ]
 
 
 @dataclass(slots=True)
 class Clocks:
-    """All instances' clocks; `contradictions`: in words, where no straight lines fit all messages, as where a clock was
-    stepped: there no order between instances is claimed."""
+    """All instances' clocks; `contradictions`: in words, where no straight lines fit all messages, as where a
+    clock was stepped: there no order between instances is claimed."""
 
     by: dict[str, Clock] = field(default_factory=dict)
     contradictions: list[str] = field(default_factory=list)
@@ -117,8 +125,12 @@
 def clocks(spans: dict[str, tuple[float, float]], found: Iterable[Link], reference: str) -> Clocks:
     """`spans`: each instance's first and last time."""
     others = [name for name in spans if name != reference]
-    out = Clocks({name: Clock(middle=(first + last) / 2, first=first, last=last, ends=(inf, inf))
-                  for name, (first, last) in spans.items()})
+    out = Clocks(
+        {
+            name: Clock(middle=(first + last) / 2, first=first, last=last, ends=(inf, inf))
+            for name, (first, last) in spans.items()
+        }
+    )
     out.by[reference].ends = (0.0, 0.0)
     by_way: dict[tuple, list[Link]] = {}
     for one in found:
@@ -182,9 +194,9 @@
 
 
 def _causes_first(rows: list[list]) -> None:
-    """Where no straight clocks fit, an effect is still not put before its cause: it is moved up to it, and whatever its
-    instance noted after it as well. `rows`: [common time, rank, place, ...record at 4], an instance's in order; a cause
-    has the lower rank at the same moment."""
+    """Where no straight clocks fit, an effect is still not put before its cause: it is moved up to it, and
+    whatever its instance noted after it as well. `rows`: [common time, rank, place, ...record at 4], an
+    instance's in order; a cause has the lower rank at the same moment."""
     ranks = {rank: 0 for _, rank, *_ in rows}
     for _ in range(len(ranks) + 2):
         floors: dict[bytes, list] = {}
@@ -208,11 +220,17 @@
 
 
 def merge(traces: dict[str, Sequence[Record]], reference: str) -> tuple[list[Record], Clocks]:
-    """One list in common time; fields `instance`, `bound`, `witnesses`, and `certain`: whether its place after the record
-    before it is known. Records of one event become one with all its witnesses if they tell the same, apart from when;
-    otherwise both stay. Within an instance the order stays as it was written, whatever its clock did."""
-    spans = {name: (min((one.fields["at"] for one in records), default=0.0),
-                    max((one.fields["at"] for one in records), default=0.0)) for name, records in traces.items()}
+    """One list in common time; fields `instance`, `bound`, `witnesses`, and `certain`: whether its place
+    after the record before it is known. Records of one event become one with all its witnesses if they tell
+    the same, apart from when; otherwise both stay. Within an instance the order stays as it was written,
+    whatever its clock did."""
+    spans = {
+        name: (
+            min((one.fields["at"] for one in records), default=0.0),
+            max((one.fields["at"] for one in records), default=0.0),
+        )
+        for name, records in traces.items()
+    }
     known = clocks(spans, links(traces), reference)
     out, events = [], {}
     rows = []
@@ -221,8 +239,18 @@
         for at, record in enumerate(records):
             last = max(last, clock.common(record.fields["at"]))  # a clock that stepped back does not reorder
             mine = list(ends(name, record))
-            rows.append([last, rank, at, name, record, clock.bound(record.fields["at"]),
-                         [link for end, link in mine if end == OUT], [link for end, link in mine if end == IN]])
+            rows.append(
+                [
+                    last,
+                    rank,
+                    at,
+                    name,
+                    record,
+                    clock.bound(record.fields["at"]),
+                    [link for end, link in mine if end == OUT],
+                    [link for end, link in mine if end == IN],
+                ]
+            )
     _causes_first(rows)
     for common, _, _, name, record, bound, _, _ in sorted(rows, key=lambda row: row[:3]):
         keys = SAME.get(record.kind)
@@ -233,8 +261,17 @@
             if same is not None:
                 same[0].fields["witnesses"].append(name)
                 continue
-        new = Record(record.kind, {**record.fields, "at": common, "bound": bound, "witnesses": [name],
-                                   "certain": 1, "instance": record.fields.get("instance", name)})
+        new = Record(
+            record.kind,
+            {
+                **record.fields,
+                "at": common,
+                "bound": bound,
+                "witnesses": [name],
+                "certain": 1,
+                "instance": record.fields.get("instance", name),
+            },
+        )
         if out and before(out[-1], new) is None:
             new.fields["certain"] = 0
         if event is not None:
--- a/oatcart/trace/plan.py
+++ b/oatcart/trace/plan.py
@@ -1,6 +1,7 @@
 """What a writer keeps, sheds, syncs, rotates and deletes, and when it gives a disk up. Free of I/O and clock.
 
-Serving comes first: records wait in bounded room, and where there is none the least wanted go, which is itself recorded.
+Serving comes first: records wait in bounded room, and where there is none the least wanted go, which is
+itself recorded.
 """
 
 from collections import deque
@@ -10,7 +11,8 @@
 
 from oatcart.trace.records import RANKS, SHED, make
 
-BLOCK_RECORDS = 4096  # of a block: 8 s of 500 reqs a second; larger ones shrink by little and are slower to seek in
+# of a block: 8 s of 500 reqs a second; larger ones shrink by little and are slower to seek in
+BLOCK_RECORDS = 4096
 BLOCK_AGE = 5.0  # s; what a crash may lose
 SYNC_EVERY = 10.0  # s between syncs; each may take some tens of ms, of the writer's time alone
 DISK_FIRST, DISK_MOST, DISK_GROWTH = 1.0, 300.0, 2.0  # s, s, factor: waits after a failing disk
@@ -58,9 +60,13 @@
             loss.since, loss.until = min(loss.since, record[1]), max(loss.until, record[1])
 
     def take(self, now: float, most: int) -> list[tuple]:
-        """The next records to be written, in the order in which they came; first what was shed since the last."""
-        out = [make(SHED, now, kind, loss.count, loss.since, loss.until, loss.why)
-               for kind, loss in self.losses.items()]
+        """The next records to be written, in the order in which they came; first what was shed since the
+        last.
+        """
+        out = [
+            make(SHED, now, kind, loss.count, loss.since, loss.until, loss.why)
+            for kind, loss in self.losses.items()
+        ]
         self.losses = {}
         found = []
         for queue in self.waiting.values():
@@ -113,7 +119,8 @@
 
 
 def over(files: Iterable[Stored], budget: int) -> list[str]:
-    """Whole files to delete, oldest first, so that the rest keeps to the budget; never a busy one. Names sort by age.
+    """Whole files to delete, oldest first, so that the rest keeps to the budget; never a busy one. Names sort
+    by age.
 
     >>> over([Stored("a", 4, False), Stored("b", 4, True), Stored("c", 4, False), Stored("d", 4, False)], 9)
     ['a', 'c']
@@ -142,7 +149,11 @@
         """The line for the log, the first time."""
         self.off_until, self.wait = now + self.wait, min(DISK_MOST, self.wait * DISK_GROWTH)
         first, self.off = not self.off, True
-        return f"tracing is off: {why}; tried again in {self.off_until - now:g} s, then less often" if first else None
+        return (
+            f"tracing is off: {why}; tried again in {self.off_until - now:g} s, then less often"
+            if first
+            else None
+        )
 
     def worked(self) -> str | None:
         """The line for the log, where it had failed."""
--- a/oatcart/trace/reader.py
+++ b/oatcart/trace/reader.py
@@ -14,20 +14,26 @@
 
 
 class Trace:
-    """An open trace. `index`: (offset, length, count, first, last) a block; `missing`: what was lost, in words;
-    `skipped`: records of unknown kinds, by kind, among what was read."""
+    """An open trace. `index`: (offset, length, count, first, last) a block; `missing`: what was lost, in
+    words; `skipped`: records of unknown kinds, by kind, among what was read."""
 
     def __init__(self, path: Path | str) -> None:
         self.path = Path(path)
-        self.file = open(self.path, "rb")  # noqa: SIM115: it lives as long as this does
+        self.file = open(self.path, "rb")  # noqa: SIM115 - it lives as long as this does
         fcntl.flock(self.file, fcntl.LOCK_SH)  # so that retention leaves it
         self.missing: list[str] = []
         self.skipped: Counter[str] = Counter()
         self.read_bytes = 0
         try:
             self.length = os.fstat(self.file.fileno()).st_size
-            self.facts, self.begin = form.read_header(self._at(0, min(self.length, form.HEAD.size + form.FACTS_MOST + 8)
-                                                               if self.length < TAIL_FIRST else TAIL_FIRST))
+            self.facts, self.begin = form.read_header(
+                self._at(
+                    0,
+                    min(self.length, form.HEAD.size + form.FACTS_MOST + 8)
+                    if self.length < TAIL_FIRST
+                    else TAIL_FIRST,
+                )
+            )
             self.index, self.footed = self._index()
         except BaseException:
             self.file.close()
@@ -92,10 +98,15 @@
             at += max(1, len(data) - len(form.BLOCK) + 1)
         return self.length
 
-    def records(self, first: float = -inf, last: float = inf,
-                progress: Callable[[int, int], None] = lambda done, of: None) -> Iterator[Record]:
-        """The records from `first` up to but not at `last`, by the instance's clock, in the order of the file. Only
-        blocks that may hold some are read; a spoilt one is said to be missing. `progress`: blocks gone through, of all."""
+    def records(
+        self,
+        first: float = -inf,
+        last: float = inf,
+        progress: Callable[[int, int], None] = lambda done, of: None,
+    ) -> Iterator[Record]:
+        """The records from `first` up to but not at `last`, by the instance's clock, in the order of the
+        file. Only blocks that may hold some are read; a spoilt one is said to be missing. `progress`: blocks
+        gone through, of all."""
         for at, (offset, length, count, begins, ends) in enumerate(self.index):
             progress(at, len(self.index))
             if ends < first or begins >= last:
@@ -105,7 +116,7 @@
                 head = form.read_head(data)
                 if not form.whole(data, 0, head):
                     raise form.Bad("it is spoilt")
-                found, skipped = form.read_block(data[form.HEADER.size:])
+                found, skipped = form.read_block(data[form.HEADER.size :])
             except form.Bad as error:
                 self.missing.append(f"a block of {count} records from {begins:.3f} to {ends:.3f}: {error}")
                 continue
@@ -117,8 +128,8 @@
 
 
 def repair(path: Path) -> str:
-    """Give a file that ended without a footer its own, after its last whole block; says what was done, if anything.
-    Whoever calls this knows that nobody writes the file."""
+    """Give a file that ended without a footer its own, after its last whole block; says what was done, if
+    anything. Whoever calls this knows that nobody writes the file."""
     with Trace(path) as trace:
         if trace.footed:
             return ""
--- a/oatcart/trace/reqs.py
+++ b/oatcart/trace/reqs.py
@@ -1,4 +1,6 @@
-"""Noting reqs, for whoever sees them: a proxy, or a stand-in of one. Free of I/O; the records go to a writer's `put`."""
+"""Noting reqs, for whoever sees them: a proxy, or a stand-in of one. Free of I/O; the records go to a
+writer's `put`.
+"""
 
 from collections.abc import Callable
 
@@ -6,7 +8,9 @@
 
 
 class Reqs:
-    """The reqs of one proxy, by their numbers, from `begun` to `ended`; all times are the proxy's own, in seconds."""
+    """The reqs of one proxy, by their numbers, from `begun` to `ended`; all times are the proxy's own, in
+    seconds.
+    """
 
     def __init__(self, proxy: str, zone: str, put: Callable[[tuple], None]) -> None:
         self.proxy, self.zone, self.put = proxy, zone, put
@@ -32,5 +36,19 @@
     def ended(self, number: int, outcome: str, at: float) -> None:
         """It is done, denied or errored; without a try it was answered here."""
         kind, key, value, tries, node, since = self.open.pop(number)
-        self.put(make(REQ, since if tries else at, number, key, self.proxy, kind, self.zone, node, outcome,
-                      at - since if tries else 0.0, tries, value))
+        self.put(
+            make(
+                REQ,
+                since if tries else at,
+                number,
+                key,
+                self.proxy,
+                kind,
+                self.zone,
+                node,
+                outcome,
+                at - since if tries else 0.0,
+                tries,
+                value,
+            )
+        )
--- a/oatcart/trace/run.py
+++ b/oatcart/trace/run.py
@@ -1,4 +1,6 @@
-"""`python -m oatcart.trace.run deploy/trace.yaml`: a plain conductor, configured by `EDGE_CONFIG`, that writes traces."""
+"""`python -m oatcart.trace.run deploy/trace.yaml`: a plain conductor, configured by `EDGE_CONFIG`, that
+writes traces.
+"""
 
 import argparse
 import os
--- a/oatcart/trace/tap.py
+++ b/oatcart/trace/tap.py
@@ -1,4 +1,6 @@
-"""What a conductor's rounds are made of, noted: arrivals as they came, orders as they were written, in full precision."""
+"""What a conductor's rounds are made of, noted: arrivals as they came, orders as they were written, in full
+precision.
+"""
 
 from collections.abc import Callable, Iterator
 from hashlib import blake2b
@@ -10,7 +12,20 @@
 
 CLOCK_EVERY = 60.0  # s between records of the clock's facts
 STEP_SHOWN = 0.05  # s by which Unix time may drift from the instance's clock until it is said to have stepped
-ORDERS = ("line", "blank", "bind", "withdraw", "admit", "drop", "ask_ack", "probe", "follow", "fetch_roll", "wake", "note")
+ORDERS = (
+    "line",
+    "blank",
+    "bind",
+    "withdraw",
+    "admit",
+    "drop",
+    "ask_ack",
+    "probe",
+    "follow",
+    "fetch_roll",
+    "wake",
+    "note",
+)
 
 
 def text_digest() -> str:
@@ -31,6 +46,7 @@
     def order(self: Noting, *args: object) -> None:
         self.said.append((name, *args))
         getattr(self.to, name)(*args)
+
     return order
 
 
@@ -39,11 +55,17 @@
 
 
 class Tap:
-    """Stands for the module's `round`: `call` is the module's, `put` takes records; `unix` is asked for now and then. Where
-    the module raises over an arrival, those behind it are handed to `back`, as the host has them played in a next call."""
-
-    def __init__(self, call: Callable, put: Callable[[tuple], None], unix: Callable[[], float],
-                 back: Callable[[list], None] = lambda rest: None) -> None:
+    """Stands for the module's `round`: `call` is the module's, `put` takes records; `unix` is asked for now
+    and then. Where the module raises over an arrival, those behind it are handed to `back`, as the host has
+    them played in a next call."""
+
+    def __init__(
+        self,
+        call: Callable,
+        put: Callable[[tuple], None],
+        unix: Callable[[], float],
+        back: Callable[[list], None] = lambda rest: None,
+    ) -> None:
         self.call, self.put, self.unix, self.back = call, put, unix, back
         self.number, self.names, self.clock_at, self.offset = 0, {}, None, None
 
@@ -54,7 +76,7 @@
             self.call(now, left, noting)
         except Exception:
             if rest := list(left):
-                del taken[-len(rest):]
+                del taken[-len(rest) :]
                 self.back(rest)
             raise
         finally:
@@ -78,18 +100,32 @@
 
 def start_record(now: float, instance: str, seed: int, records: dict, names: dict) -> tuple:
     """What a conductor was started with, so that a fresh one can be; `names`: of kinds and zones."""
-    return make(START, now, instance, seed, {**records, "kinds": [tuple(kind) for kind in records["kinds"]],
-                                             **{one: tuple(records[one]) for one in ("roll", "channel", "cold")}},
-                text_digest(), names)
+    return make(
+        START,
+        now,
+        instance,
+        seed,
+        {
+            **records,
+            "kinds": [tuple(kind) for kind in records["kinds"]],
+            **{one: tuple(records[one]) for one in ("roll", "channel", "cold")},
+        },
+        text_digest(),
+        names,
+    )
 
 
 def started(fields: dict) -> policy.Conductor:
     """A fresh conductor from a start record's fields."""
     told = dict(fields["records"])
     return policy.Conductor(
-        seed=fields["seed"], kinds=[our.ReqKind(*kind) for kind in told.pop("kinds")],
-        roll=our.RollManners(*told.pop("roll")), channel=our.ChannelLimits(*told.pop("channel")),
-        cold=our.ColdLimits(*told.pop("cold")), **told)
+        seed=fields["seed"],
+        kinds=[our.ReqKind(*kind) for kind in told.pop("kinds")],
+        roll=our.RollManners(*told.pop("roll")),
+        channel=our.ChannelLimits(*told.pop("channel")),
+        cold=our.ColdLimits(*told.pop("cold")),
+        **told,
+    )
 
 
 class Said:
@@ -105,8 +141,9 @@
 
 
 def again(records: Iterator) -> tuple[int, int, str]:
-    """Hand recorded rounds to a fresh conductor: rounds played, orders compared, and the first difference or nothing.
-    Rounds before a start record, or after some that were shed, prove nothing and are refused by words."""
+    """Hand recorded rounds to a fresh conductor: rounds played, orders compared, and the first difference or
+    nothing. Rounds before a start record, or after some that were shed, prove nothing and are refused by
+    words."""
     module, rounds, orders, last, began = None, 0, 0, None, None
     for kind, fields in records:
         if kind == START:
@@ -125,7 +162,13 @@
             said = [one for one in writer.said if one[0] != "raised"]
             rounds, orders = rounds + 1, orders + len(said)
             if said != list(fields["orders"]):
-                at = next((at for at, (old, new) in enumerate(zip(fields["orders"], said, strict=False)) if old != new),
-                          min(len(said), len(fields["orders"])))
+                at = next(
+                    (
+                        at
+                        for at, (old, new) in enumerate(zip(fields["orders"], said, strict=False))
+                        if old != new
+                    ),
+                    min(len(said), len(fields["orders"])),
+                )
                 return rounds, orders, f"round {fields['number']} differs from order {at} on"
     return rounds, orders, ""
--- a/oatcart/trace/writer.py
+++ b/oatcart/trace/writer.py
@@ -1,4 +1,6 @@
-"""Writing a trace: records are put from where they arise, and written elsewhere; nothing here raises into serving."""
+"""Writing a trace: records are put from where they arise, and written elsewhere; nothing here raises into
+serving.
+"""
 
 import fcntl
 import os
@@ -26,7 +28,7 @@
     def write(self, fd: int, data: bytes) -> None:
         view = memoryview(data)
         while view:
-            view = view[os.write(fd, view):]
+            view = view[os.write(fd, view) :]
 
     def sync(self, fd: int) -> None:
         os.fdatasync(fd)
@@ -53,11 +55,27 @@
 class Writer:
     """`facts` go into each file's header; `clock` is the instance's. `room`: records that may wait."""
 
-    def __init__(self, folder: Path, instance: str, facts: dict, clock: Callable[[], float],
-                 say: Callable[[str, str], None], file_bytes: int = 64 << 20, file_for: float = 3600.0,
-                 budget: int = 1 << 30, room: int = 20 * BLOCK_RECORDS, store: Store | None = None,
-                 unix: Callable[[], float] = time.time) -> None:
-        self.folder, self.instance, self.facts, self.clock, self.say = Path(folder), instance, facts, clock, say
+    def __init__(
+        self,
+        folder: Path,
+        instance: str,
+        facts: dict,
+        clock: Callable[[], float],
+        say: Callable[[str, str], None],
+        file_bytes: int = 64 << 20,
+        file_for: float = 3600.0,
+        budget: int = 1 << 30,
+        room: int = 20 * BLOCK_RECORDS,
+        store: Store | None = None,
+        unix: Callable[[], float] = time.time,
+    ) -> None:
+        self.folder, self.instance, self.facts, self.clock, self.say = (
+            Path(folder),
+            instance,
+            facts,
+            clock,
+            say,
+        )
         self.unix = unix
         self.budget, self.store = budget, store or Store()
         self.keeper, self.pace, self.disk = Keeper(room), Pace(file_bytes, file_for), Disk()
@@ -79,7 +97,7 @@
         self.thread.start()
 
     def stop(self, within: float | None = None) -> None:
-        """Write what waits and end the file; where the thread does not end in time, that is left to recovery."""
+        """Write what waits and end the file; where the thread does not end in time, recovery does it."""
         self.stopping.set()
         if self.thread is not None:
             self.thread.join(within)
@@ -107,7 +125,11 @@
             return
         while True:
             with self.lock:
-                due = self.pace.block_due(now, self.keeper.size) or last and (self.keeper.size or self.keeper.losses)
+                due = (
+                    self.pace.block_due(now, self.keeper.size)
+                    or last
+                    and (self.keeper.size or self.keeper.losses)
+                )
                 records = self.keeper.take(now, BLOCK_RECORDS) if due else []
             if not records:
                 break
@@ -166,13 +188,18 @@
             self.size, self.number = self.size + len(data), 1
 
     def _retain(self) -> None:
-        files = [Stored(path.name, path.stat().st_size, busy(path))
-                 for path in self.folder.glob(f"{self.instance}-*{SUFFIX}")]
+        files = [
+            Stored(path.name, path.stat().st_size, busy(path))
+            for path in self.folder.glob(f"{self.instance}-*{SUFFIX}")
+        ]
         for name in over(files, self.budget):
             (self.folder / name).unlink(missing_ok=True)
 
     def _end(self) -> None:
-        self._try(self.clock(), lambda: (self.store.write(self.fd, form.footer(self.index)), self.store.sync(self.fd)))
+        self._try(
+            self.clock(),
+            lambda: (self.store.write(self.fd, form.footer(self.index)), self.store.sync(self.fd)),
+        )
         self._close()
 
     def _close(self) -> None:
--- a/oatcart/xds/__main__.py
+++ b/oatcart/xds/__main__.py
@@ -1,4 +1,6 @@
-"""`python -m oatcart.xds deploy/xds.yaml`: a conductor, configured as ever by `EDGE_CONFIG`, with the xDS front."""
+"""`python -m oatcart.xds deploy/xds.yaml`: a conductor, configured as ever by `EDGE_CONFIG`, with the xDS
+front.
+"""
 
 import os
 import signal
@@ -30,6 +32,7 @@
         if told.trace:
             from oatcart.trace import configuration as tracing
             from oatcart.trace import hook
+
             where = tracing.read(told.trace)
     except (Wrong, Unusable) as error:
         print(error, file=sys.stderr)
--- a/oatcart/xds/configuration.py
+++ b/oatcart/xds/configuration.py
@@ -35,9 +35,17 @@
 
 
 SOURCE = {"address": address, "cluster": name, "hold": span, "dial_most": span, "with_roll": yes_or_no}
-FIELDS = {"listen": address, "home_zone": name, "clients": whole(1, 100_000), "streams": whole(1, 64),
-          "names": whole(1, 100_000), "pushes": whole(1, 1_000_000), "unread_for": span, "report_every": span,
-          "source": None}
+FIELDS = {
+    "listen": address,
+    "home_zone": name,
+    "clients": whole(1, 100_000),
+    "streams": whole(1, 64),
+    "names": whole(1, 100_000),
+    "pushes": whole(1, 1_000_000),
+    "unread_for": span,
+    "report_every": span,
+    "source": None,
+}
 
 
 def read(path: str | Path) -> Xds:
@@ -51,7 +59,9 @@
         line = told.lc.key("source")[0]
         source = table(found["source"], SOURCE, "source.", where, wrong, line)
         asked = found["source"] if isinstance(found["source"], CommentedMap) else {}
-        wrong += [f"{where(line)}: source.{key} is missing" for key in ("address", "cluster") if key not in asked]
+        wrong += [
+            f"{where(line)}: source.{key} is missing" for key in ("address", "cluster") if key not in asked
+        ]
         found["source"] = Source(**source) if not wrong else None
     if wrong:
         raise Wrong("\n".join(wrong))
--- a/oatcart/xds/encode.py
+++ b/oatcart/xds/encode.py
@@ -1,7 +1,8 @@
 """Bodies of resources as Envoy's v3 messages, and pushes as discovery responses.
 
-A resource is encoded once, whoever gets it: a serialized message is the concatenation of its parts, so a response is its
-own few fields followed by a ready-made part for each resource (protobuf, encoding: "last one wins" and repeated fields).
+A resource is encoded once, whoever gets it: a serialized message is the concatenation of its parts, so a
+response is its own few fields followed by a ready-made part for each resource (protobuf, encoding: "last one
+wins" and repeated fields).
 """
 
 from collections import OrderedDict
@@ -32,12 +33,13 @@
     ROUTE: "type.googleapis.com/envoy.config.route.v3.RouteConfiguration",
 }
 KEPT_MOST = 8192  # encoded resources; beyond it the one not used for longest is encoded again when asked for
-UNLIMITED = 2 ** 32 - 1  # what Envoy takes for no limit
+UNLIMITED = 2**32 - 1  # what Envoy takes for no limit
 CONNECT_WITHIN = 1  # s until a client takes a node for unreached; a report says so, and the module judges
 ALWAYS_ENOUGH = 10_000  # percent: a zone keeps its whole weight while one of its nodes is healthy
 DROPPED_BY = "oatcart-admission"  # the category of drops, as load reports name it
-ADS = config_source_pb2.ConfigSource(ads=config_source_pb2.AggregatedConfigSource(),
-                                     resource_api_version=config_source_pb2.V3)
+ADS = config_source_pb2.ConfigSource(
+    ads=config_source_pb2.AggregatedConfigSource(), resource_api_version=config_source_pb2.V3
+)
 
 
 def _packed(message: Message) -> any_pb2.Any:
@@ -47,24 +49,34 @@
 
 
 def _cluster(body: view.Cluster) -> Message:
-    """The client judges nothing itself: no outlier detection, no limits, no panic, no zones of its own, and a node's
-    health is what the endpoints say. Of two drawn the one with less of its own work outstanding is picked, where the
-    client can do that; gRPC's own draws a locality by weight, and each node is one."""
-    limits = circuit_breaker_pb2.CircuitBreakers.Thresholds(**{
-        name: wrappers_pb2.UInt32Value(value=UNLIMITED)
-        for name in ("max_connections", "max_pending_requests", "max_requests", "max_retries")})
+    """The client judges nothing itself: no outlier detection, no limits, no panic, no zones of its own, and a
+    node's health is what the endpoints say. Of two drawn the one with less of its own work outstanding is
+    picked, where the client can do that; gRPC's own draws a locality by weight, and each node is one."""
+    limits = circuit_breaker_pb2.CircuitBreakers.Thresholds(
+        **{
+            name: wrappers_pb2.UInt32Value(value=UNLIMITED)
+            for name in ("max_connections", "max_pending_requests", "max_requests", "max_retries")
+        }
+    )
     cluster = cluster_pb2.Cluster(
-        name=body.kind, type=cluster_pb2.Cluster.EDS, connect_timeout=duration_pb2.Duration(seconds=CONNECT_WITHIN),
+        name=body.kind,
+        type=cluster_pb2.Cluster.EDS,
+        connect_timeout=duration_pb2.Duration(seconds=CONNECT_WITHIN),
         eds_cluster_config=cluster_pb2.Cluster.EdsClusterConfig(eds_config=ADS),
         lrs_server=config_source_pb2.ConfigSource(self=config_source_pb2.SelfConfigSource()),
-        circuit_breakers=circuit_breaker_pb2.CircuitBreakers(thresholds=[limits]))
+        circuit_breakers=circuit_breaker_pb2.CircuitBreakers(thresholds=[limits]),
+    )
     if body.shape == view.SPREAD:
         rr = extension_pb2.TypedExtensionConfig(
-            name="round_robin", typed_config=_packed(round_robin_pb2.RoundRobin()))
-        child = cluster_pb2.LoadBalancingPolicy(policies=[
-            cluster_pb2.LoadBalancingPolicy.Policy(typed_extension_config=rr)])
-        wrr = extension_pb2.TypedExtensionConfig(name="wrr_locality", typed_config=_packed(
-            wrr_locality_pb2.WrrLocality(endpoint_picking_policy=child)))
+            name="round_robin", typed_config=_packed(round_robin_pb2.RoundRobin())
+        )
+        child = cluster_pb2.LoadBalancingPolicy(
+            policies=[cluster_pb2.LoadBalancingPolicy.Policy(typed_extension_config=rr)]
+        )
+        wrr = extension_pb2.TypedExtensionConfig(
+            name="wrr_locality",
+            typed_config=_packed(wrr_locality_pb2.WrrLocality(endpoint_picking_policy=child)),
+        )
         cluster.load_balancing_policy.policies.add().typed_extension_config.CopyFrom(wrr)
         return cluster
     cluster.lb_policy = cluster_pb2.Cluster.LEAST_REQUEST
@@ -80,7 +92,8 @@
     at = address_pb2.Address(socket_address=address_pb2.SocketAddress(address=one.host, port_value=one.port))
     made = endpoint_components_pb2.LbEndpoint(
         endpoint=endpoint_components_pb2.Endpoint(address=at, hostname=one.name),
-        health_status=health_check_pb2.HealthStatus.Value(one.health))
+        health_status=health_check_pb2.HealthStatus.Value(one.health),
+    )
     if weighted:
         made.load_balancing_weight.value = one.weight
     return made
@@ -90,8 +103,12 @@
     made = endpoint_pb2.ClusterLoadAssignment(cluster_name=body.kind)
     made.policy.overprovisioning_factor.value = ALWAYS_ENOUGH
     if body.drop:
-        made.policy.drop_overloads.add(category=DROPPED_BY, drop_percentage=percent_pb2.FractionalPercent(
-            numerator=body.drop, denominator=percent_pb2.FractionalPercent.MILLION))
+        made.policy.drop_overloads.add(
+            category=DROPPED_BY,
+            drop_percentage=percent_pb2.FractionalPercent(
+                numerator=body.drop, denominator=percent_pb2.FractionalPercent.MILLION
+            ),
+        )
     if body.shape == view.EACH:
         for zone, begins in body.collections:
             part = made.endpoints.add(locality=base_pb2.Locality(zone=zone))
@@ -99,15 +116,20 @@
             part.leds_cluster_locality_config.leds_config.CopyFrom(ADS)
     elif body.shape == view.SPREAD:
         for one in body.endpoints:
-            part = made.endpoints.add(locality=base_pb2.Locality(zone=one.zone, sub_zone=one.name),
-                                      lb_endpoints=[_lb_endpoint(one, False)])
+            part = made.endpoints.add(
+                locality=base_pb2.Locality(zone=one.zone, sub_zone=one.name),
+                lb_endpoints=[_lb_endpoint(one, False)],
+            )
             part.load_balancing_weight.value = one.weight  # a locality without one gets nothing
     else:
         for zone in sorted({one.zone for one in body.endpoints}):
             here = [one for one in body.endpoints if one.zone == zone]
-            part = made.endpoints.add(locality=base_pb2.Locality(zone=zone),
-                                      lb_endpoints=[_lb_endpoint(one, True) for one in here])
-            part.load_balancing_weight.value = max(1, sum(one.weight for one in here if one.health == view.HEALTHY))
+            part = made.endpoints.add(
+                locality=base_pb2.Locality(zone=zone), lb_endpoints=[_lb_endpoint(one, True) for one in here]
+            )
+            part.load_balancing_weight.value = max(
+                1, sum(one.weight for one in here if one.health == view.HEALTHY)
+            )
     return made
 
 
@@ -116,8 +138,9 @@
     manager.rds.route_config_name = body.kind
     manager.rds.config_source.CopyFrom(ADS)
     manager.http_filters.add(name="router", typed_config=_packed(router_pb2.Router()))
-    return listener_pb2.Listener(name=body.kind, api_listener=api_listener_pb2.ApiListener(
-        api_listener=_packed(manager)))
+    return listener_pb2.Listener(
+        name=body.kind, api_listener=api_listener_pb2.ApiListener(api_listener=_packed(manager))
+    )
 
 
 def _route(body: view.Route) -> Message:
@@ -131,8 +154,13 @@
     return made
 
 
-_MAKERS = {view.Cluster: _cluster, view.Assignment: _assignment, view.Listener: _listener, view.Route: _route,
-           view.Member: lambda body: _lb_endpoint(body.endpoint, True)}
+_MAKERS = {
+    view.Cluster: _cluster,
+    view.Assignment: _assignment,
+    view.Listener: _listener,
+    view.Route: _route,
+    view.Member: lambda body: _lb_endpoint(body.endpoint, True),
+}
 
 
 class Encoder:
@@ -140,7 +168,8 @@
 
     def __init__(self, most: int = KEPT_MOST) -> None:
         self.most, self.made = most, 0
-        self.packed: OrderedDict[tuple, bytes] = OrderedDict()  # by protocol, name and version: a response's part
+        # by protocol, name and version: a response's part
+        self.packed: OrderedDict[tuple, bytes] = OrderedDict()
 
     def _part(self, delta: bool, kind: str, name: str, version: str, body: object) -> bytes:
         key = delta, kind, name, version
@@ -150,9 +179,13 @@
             packed = _packed(_MAKERS[type(body)](body))
             if delta:
                 one = discovery_pb2.Resource(name=name, version=version, resource=packed)
-                part = discovery_pb2.DeltaDiscoveryResponse(resources=[one]).SerializeToString(deterministic=True)
+                part = discovery_pb2.DeltaDiscoveryResponse(resources=[one]).SerializeToString(
+                    deterministic=True
+                )
             else:
-                part = discovery_pb2.DiscoveryResponse(resources=[packed]).SerializeToString(deterministic=True)
+                part = discovery_pb2.DiscoveryResponse(resources=[packed]).SerializeToString(
+                    deterministic=True
+                )
             self.packed[key] = part
             while len(self.packed) > self.most:
                 self.packed.popitem(last=False)
@@ -164,10 +197,15 @@
         """A discovery response of either protocol, serialized."""
         if delta:
             head = discovery_pb2.DeltaDiscoveryResponse(
-                type_url=TYPES[kind], nonce=push.nonce, system_version_info=push.version,
-                removed_resources=push.removed).SerializeToString()
+                type_url=TYPES[kind],
+                nonce=push.nonce,
+                system_version_info=push.version,
+                removed_resources=push.removed,
+            ).SerializeToString()
         else:
             head = discovery_pb2.DiscoveryResponse(
-                type_url=TYPES[kind], nonce=push.nonce, version_info=push.version).SerializeToString()
-        return head + b"".join(self._part(delta, kind, name, content.version, content.body)
-                               for name, content in push.items)
+                type_url=TYPES[kind], nonce=push.nonce, version_info=push.version
+            ).SerializeToString()
+        return head + b"".join(
+            self._part(delta, kind, name, content.version, content.body) for name, content in push.items
+        )
--- a/oatcart/xds/follow.py
+++ b/oatcart/xds/follow.py
@@ -22,8 +22,12 @@
 ANSWER_MOST = 16 * 1024 * 1024  # bytes of an answer: a hundred thousand endpoints
 NODES_MOST = 100_000  # in one answer
 HEALTH = health_check_pb2.HealthStatus
-STATES = {HEALTH.UNKNOWN: our.READY, HEALTH.HEALTHY: our.READY, HEALTH.DEGRADED: our.READY,
-          HEALTH.DRAINING: our.DRAINING}  # all others are left out, like nodes that are missing
+STATES = {
+    HEALTH.UNKNOWN: our.READY,
+    HEALTH.HEALTHY: our.READY,
+    HEALTH.DEGRADED: our.READY,
+    HEALTH.DRAINING: our.DRAINING,
+}  # all others are left out, like nodes that are missing
 KEY = "oatcart"  # of an endpoint's metadata, where `started` may stand, s of Unix time
 
 
@@ -31,7 +35,9 @@
     """An answer that cannot be used; names the field."""
 
 
-def endpoints(message: endpoint_pb2.ClusterLoadAssignment, zones: dict[str, int]) -> dict[str, tuple[Told, Address]]:
+def endpoints(
+    message: endpoint_pb2.ClusterLoadAssignment, zones: dict[str, int]
+) -> dict[str, tuple[Told, Address]]:
     """The endpoints of an assignment by name; raises Unfit."""
     found: dict[str, tuple[Told, Address]] = {}
     taken: dict[Address, str] = {}
@@ -46,8 +52,10 @@
                 if not known[1]:
                     raise ValueError
             except ValueError:
-                raise Unfit(f"{field}.endpoint.address: {socket.address[:80]}:{socket.port_value} is no numeric "
-                            "address and port") from None
+                raise Unfit(
+                    f"{field}.endpoint.address: {socket.address[:80]}:{socket.port_value} is no numeric "
+                    "address and port"
+                ) from None
             name = one.endpoint.hostname or "{}:{}".format(*known)
             if len(name) > ID_MOST or not name.isprintable():
                 raise Unfit(f"{field}.endpoint.hostname: {name[:80]!r} is no name")
@@ -55,8 +63,15 @@
                 raise Unfit(f"{field}: {name} at {known[0]}:{known[1]} stands there twice")
             taken[known] = name
             if one.health_status in STATES:
-                found[name] = (Told(zones[part.locality.zone], STATES[one.health_status],
-                                    one.load_balancing_weight.value or 1.0, _started(one, field)), known)
+                found[name] = (
+                    Told(
+                        zones[part.locality.zone],
+                        STATES[one.health_status],
+                        one.load_balancing_weight.value or 1.0,
+                        _started(one, field),
+                    ),
+                    known,
+                )
             if len(taken) > NODES_MOST:
                 raise Unfit(f"endpoints: more than {NODES_MOST}")
     return found
@@ -73,12 +88,29 @@
 
 
 class Follower:
-    """`take` gets the whole list, as entries, when it has changed; `addresses` is the conductor's own table."""
-
-    def __init__(self, server: str, cluster: str, node: str, codec: Codec, addresses: dict[int, Address],
-                 believed: Believed, backoff: Backoff, clock: Callable[[], float], unix: Callable[[], float],
-                 take: Callable[[list[tuple]], None], say: Callable[[str, str], None]) -> None:
-        self.server, self.cluster, self.node, self.codec, self.addresses = server, cluster, node, codec, addresses
+    """`take` gets the whole list, as entries, when it has changed; `addresses` is the conductor's own."""
+
+    def __init__(
+        self,
+        server: str,
+        cluster: str,
+        node: str,
+        codec: Codec,
+        addresses: dict[int, Address],
+        believed: Believed,
+        backoff: Backoff,
+        clock: Callable[[], float],
+        unix: Callable[[], float],
+        take: Callable[[list[tuple]], None],
+        say: Callable[[str, str], None],
+    ) -> None:
+        self.server, self.cluster, self.node, self.codec, self.addresses = (
+            server,
+            cluster,
+            node,
+            codec,
+            addresses,
+        )
         self.believed, self.backoff, self.clock, self.unix, self.take = believed, backoff, clock, unix, take
         self.say = say
         self.at: dict[str, Address] = {}
@@ -94,24 +126,33 @@
 
     async def _life(self) -> None:
         """Stream after stream, each until it ends or a doubt asks for another."""
-        options = [("grpc.max_receive_message_length", ANSWER_MOST), ("grpc.keepalive_time_ms", 10_000),
-                   ("grpc.keepalive_timeout_ms", 5_000), ("grpc.initial_reconnect_backoff_ms", 100),
-                   ("grpc.max_reconnect_backoff_ms", 1000)]
+        options = [
+            ("grpc.max_receive_message_length", ANSWER_MOST),
+            ("grpc.keepalive_time_ms", 10_000),
+            ("grpc.keepalive_timeout_ms", 5_000),
+            ("grpc.initial_reconnect_backoff_ms", 100),
+            ("grpc.max_reconnect_backoff_ms", 1000),
+        ]
         async with grpc.aio.insecure_channel(self.server, options=options) as channel:
             while True:
                 try:
                     await self._stream(channel)
                 except grpc.aio.AioRpcError as error:
                     wait = self.backoff.next()
-                    self.say("source", f"{self.server}: {error.code().name}: {(error.details() or '')[:200]}; "
-                             f"the last list stands, next dial in {wait:.2f} s")
+                    self.say(
+                        "source",
+                        f"{self.server}: {error.code().name}: {(error.details() or '')[:200]}; "
+                        f"the last list stands, next dial in {wait:.2f} s",
+                    )
                     await asyncio.sleep(wait)
 
     async def _stream(self, channel: grpc.aio.Channel) -> None:
         call, version, fresh = channel.stream_stream(ADS)(), "", True
         request = discovery_pb2.DiscoveryRequest(
-            node=base_pb2.Node(id=self.node, user_agent_name="oatcart"), type_url=TYPES[ENDPOINTS],
-            resource_names=[self.cluster])
+            node=base_pb2.Node(id=self.node, user_agent_name="oatcart"),
+            type_url=TYPES[ENDPOINTS],
+            resource_names=[self.cluster],
+        )
         try:
             await call.write(request.SerializeToString())
             while True:
@@ -125,7 +166,9 @@
                     if (await call.code()) is grpc.StatusCode.OK:
                         await asyncio.sleep(self.backoff.next())  # it was told to go, politely
                     return
-                request = discovery_pb2.DiscoveryRequest(type_url=TYPES[ENDPOINTS], resource_names=[self.cluster])
+                request = discovery_pb2.DiscoveryRequest(
+                    type_url=TYPES[ENDPOINTS], resource_names=[self.cluster]
+                )
                 try:
                     response = discovery_pb2.DiscoveryResponse.FromString(data)
                     request.response_nonce = response.nonce
@@ -153,13 +196,18 @@
                 break
         else:
             return  # an answer without what was asked for says nothing of it
-        doubt = self.believed.take(self.clock(), self.unix(), {name: told for name, (told, _) in found.items()}, fresh)
+        doubt = self.believed.take(
+            self.clock(), self.unix(), {name: told for name, (told, _) in found.items()}, fresh
+        )
         if doubt:
             self.say("source", f"{self.server}: doubted: {doubt}; they stay, it is asked anew")
         self.at = {name: at for name, at in self.at.items() if name in self.believed.standing} | {
-            name: at for name, (_, at) in found.items()}
+            name: at for name, (_, at) in found.items()
+        }
         by_address = {at: place for place, at in self.addresses.items()}
-        places = {name: by_address.get(at) if at in by_address else self.codec.place(name)
-                  for name, at in self.at.items()}
+        places = {
+            name: by_address.get(at) if at in by_address else self.codec.place(name)
+            for name, at in self.at.items()
+        }
         self.addresses |= {places[name]: at for name, at in self.at.items()}
         self.take(self.believed.entries(places.__getitem__))
--- a/oatcart/xds/front.py
+++ b/oatcart/xds/front.py
@@ -1,8 +1,9 @@
-"""The xDS front without its transport: who is a client, what each is sent, what the module is told. Free of I/O.
+"""The xDS front without its transport: who is a client, what each is sent, what the module is told. Free of
+I/O.
 
-A client is known by its node's id. Once it asks for what depends on tables it is a proxy to the module, which binds it
-to the tables of its zone as it binds a sidecar; until it is bound it is sent none of them. Marks are applied once all
-that the mark stands for is acknowledged on all its streams.
+A client is known by its node's id. Once it asks for what depends on tables it is a proxy to the module, which
+binds it to the tables of its zone as it binds a sidecar; until it is bound it is sent none of them. Marks are
+applied once all that the mark stands for is acknowledged on all its streams.
 """
 
 from collections import OrderedDict, deque
@@ -100,9 +101,19 @@
 class Front:
     """`first`: the number of the first xDS client as a proxy. `life`: begins nonces, another in each life."""
 
-    def __init__(self, host: Host, kinds: Sequence[tuple[str, our.ReqKind]], zones: Sequence[str], first: int,
-                 life: str, gate: Gate, budget: Budget, by_rate: bool, home: str = "",
-                 say: Callable[[str, str], None] = lambda kind, text: None) -> None:
+    def __init__(
+        self,
+        host: Host,
+        kinds: Sequence[tuple[str, our.ReqKind]],
+        zones: Sequence[str],
+        first: int,
+        life: str,
+        gate: Gate,
+        budget: Budget,
+        by_rate: bool,
+        home: str = "",
+        say: Callable[[str, str], None] = lambda kind, text: None,
+    ) -> None:
         self.host, self.kinds, self.zones = host, list(kinds), {name: at for at, name in enumerate(zones)}
         self.zone_names, self.first, self.life = list(zones), first, life
         self.gate, self.budget, self.by_rate, self.home, self.say = gate, budget, by_rate, home, say
@@ -113,7 +124,8 @@
         self.keys = count(1)
         self.shelves: dict[tuple, Shelf] = {}
         self.maps: dict[int, tuple[int, ...]] = {}  # by zone: the table of each kind
-        self.lined: dict[int, set[int]] = {}  # by table: nodes that had a line at the last look, or are leaving
+        # by table: nodes that had a line at the last look, or are leaving
+        self.lined: dict[int, set[int]] = {}
         self.shown: dict[int, tuple[view.Endpoint, ...]] = {}  # by table, as last published
         self.drops: dict[tuple[int, int], int] = {}  # by zone and kind
         self.dirty: dict[Stream, None] = {}
@@ -135,7 +147,11 @@
             return self._shelf(CLUSTER, client.shape)
         if not client.bound:
             return NOTHING
-        return self._shelf(kind, client.zone, client.shape) if kind == ENDPOINTS else self._shelf(kind, client.zone)
+        return (
+            self._shelf(kind, client.zone, client.shape)
+            if kind == ENDPOINTS
+            else self._shelf(kind, client.zone)
+        )
 
     # -- streams and what comes on them
 
@@ -151,9 +167,14 @@
         line = stream.lines.get(ask.type)
         if line is None:
             whole = not stream.delta and ask.type in WHOLE_TYPES
-            line = Line(stream.delta, whole, f"{self.life}.{stream.key}.{ask.type[0]}", ask.type in WHOLE_TYPES)
-        self.gate.wanted(sum(len(one.wanted) for one in stream.lines.values()) + len(ask.names)
-                         - (len(line.wanted) if not stream.delta else 0))
+            line = Line(
+                stream.delta, whole, f"{self.life}.{stream.key}.{ask.type[0]}", ask.type in WHOLE_TYPES
+            )
+        self.gate.wanted(
+            sum(len(one.wanted) for one in stream.lines.values())
+            + len(ask.names)
+            - (len(line.wanted) if not stream.delta else 0)
+        )
         stream.lines[ask.type] = line
         stream.returning = stream.returning or bool(ask.brought)
         if stream.delta:
@@ -179,8 +200,10 @@
         check_names([node.id])
         zone = node.zone or self.home
         if zone not in self.zones:
-            raise Refused("INVALID_ARGUMENT",
-                          f"node.locality.zone: {zone[:80]!r} is none of {', '.join(self.zone_names)}")
+            raise Refused(
+                "INVALID_ARGUMENT",
+                f"node.locality.zone: {zone[:80]!r} is none of {', '.join(self.zone_names)}",
+            )
         client = self.clients.get(node.id)
         if client is None:
             self.gate.client(len(self.clients), sum(not one.bound for one in self.clients.values()))
@@ -189,8 +212,11 @@
             self.clients[node.id] = self.by_proxy[proxy] = client
             stream.returning = node.id in self.known
         elif (client.zone, client.shape) != (self.zones[zone], node.shape):
-            raise Refused("FAILED_PRECONDITION", f"{node.id[:80]!r} is joined from {self.zone_names[client.zone]} "
-                          f"as {client.shape}: an id is one client's")
+            raise Refused(
+                "FAILED_PRECONDITION",
+                f"{node.id[:80]!r} is joined from {self.zone_names[client.zone]} "
+                f"as {client.shape}: an id is one client's",
+            )
         stream.client = client
         client.streams.append(stream)
         return self.gate.makes_way(client.streams)
@@ -230,11 +256,19 @@
     def _refused(self, now: float, client: Client, kind: str, refusal: Refusal) -> None:
         client.refusals.append((now, kind, refusal))
         tried = f"; tried again alone: {', '.join(refusal.alone)}" if refusal.alone else ""
-        self.say("refused", f"{client.id} refuses {kind} {', '.join(refusal.refused) or '(unnamed)'}: "
-                 f"{refusal.words}{tried}")
-
-    def report(self, node: str, books: Books, reports: Iterable[ClusterReport],
-               place: Callable[[object], int | None], odd: Callable[[str], None]) -> None:
+        self.say(
+            "refused",
+            f"{client.id} refuses {kind} {', '.join(refusal.refused) or '(unnamed)'}: {refusal.words}{tried}",
+        )
+
+    def report(
+        self,
+        node: str,
+        books: Books,
+        reports: Iterable[ClusterReport],
+        place: Callable[[object], int | None],
+        odd: Callable[[str], None],
+    ) -> None:
         """A load report of a client; of one that is not joined it says nothing, as nobody knows its zone."""
         client = self.clients.get(node)
         if client is None or not client.joined:
@@ -254,10 +288,15 @@
         if client is not None and parts and parts[-1].mark is not None:
             client.told = parts[-1].mark
 
-    def publish(self, now: float, tables: Tables, roster: view.Roster,
-                named: Callable[[int], tuple[str, str, int] | None]) -> None:
-        """After a round: the tables as they stand become resources, marks are noted. `named`: a node's name, host and
-        port, None where it has no address yet."""
+    def publish(
+        self,
+        now: float,
+        tables: Tables,
+        roster: view.Roster,
+        named: Callable[[int], tuple[str, str, int] | None],
+    ) -> None:
+        """After a round: the tables as they stand become resources, marks are noted. `named`: a node's name,
+        host and port, None where it has no address yet."""
         newly = []
         for client in self.clients.values():
             if client.joined and not client.bound and client.proxy in tables.proxies:
@@ -265,25 +304,33 @@
                 if at is not None:
                     self.maps[client.zone], client.bound = at, True
                     newly.append(client)
-        found = {at: self._endpoints(at, tables, roster, named) for at in sorted(set(sum(self.maps.values(), ())))}
+        found = {
+            at: self._endpoints(at, tables, roster, named) for at in sorted(set(sum(self.maps.values(), ())))
+        }
         news = False
         for zone, tables_by_kind in self.maps.items():
             news = self._put_zone(now, zone, tables_by_kind, tables, found) or news
         self.shown = found
         self.dirty |= dict.fromkeys(stream for client in newly for stream in client.streams)
         if news:
-            self.dirty |= dict.fromkeys(stream for client in self.clients.values() for stream in client.streams)
+            self.dirty |= dict.fromkeys(
+                stream for client in self.clients.values() for stream in client.streams
+            )
         for client in self.clients.values():
             if client.told is not None:
                 self._owe(now, client)
 
     def _bound(self, bound: Mapping[int, int]) -> tuple[int, ...] | None:
         """The table of each kind, once there is one for all."""
-        tables = tuple(next((at for at, kinds in bound.items() if kinds >> kind & 1), -1)
-                       for kind in range(len(self.kinds)))
+        tables = tuple(
+            next((at for at, kinds in bound.items() if kinds >> kind & 1), -1)
+            for kind in range(len(self.kinds))
+        )
         return tables if -1 not in tables else None
 
-    def _endpoints(self, at: int, tables: Tables, roster: view.Roster, named: Callable) -> tuple[view.Endpoint, ...]:
+    def _endpoints(
+        self, at: int, tables: Tables, roster: view.Roster, named: Callable
+    ) -> tuple[view.Endpoint, ...]:
         lines = tables.tables[at].lines
         leaving = view.leaving(self.lined.get(at, ()), lines, roster)
         self.lined[at] = leaving | lines.keys()
@@ -305,7 +352,9 @@
             for shape in view.WHOLE, view.SPREAD:
                 body = view.Assignment(name, shape, drop, endpoints)
                 news |= self._shelf(ENDPOINTS, zone, shape).put(now, name, body, picks, urgent)
-            begins = tuple((one, view.collection(self.zone_names[zone], first, one)) for one in self.zone_names)
+            begins = tuple(
+                (one, view.collection(self.zone_names[zone], first, one)) for one in self.zone_names
+            )
             body = view.Assignment(name, view.EACH, drop, (), begins)
             news |= self._shelf(ENDPOINTS, zone, view.EACH).put(now, name, body, (), drop > before)
             news |= self._shelf(ROUTE, zone).put(now, name, view.route(name, req, tries))
@@ -315,7 +364,10 @@
         shelf, news, names = self._shelf(MEMBER, zone), False, set()
         shelf.ready = True
         for table in dict.fromkeys(at):
-            first, before = self.kinds[at.index(table)][0], {one.name: one for one in self.shown.get(table, ())}
+            first, before = (
+                self.kinds[at.index(table)][0],
+                {one.name: one for one in self.shown.get(table, ())},
+            )
             for one in found[table]:
                 name = view.collection(self.zone_names[zone], first, one.zone) + one.name
                 names.add(name)
@@ -325,15 +377,21 @@
         return shelf.keep_only(now, names) or news
 
     def _rate(self, zone: int, kind: int) -> float:
-        rates = [client.rates[kind] for client in self.clients.values() if client.zone == zone and client.bound]
+        rates = [
+            client.rates[kind] for client in self.clients.values() if client.zone == zone and client.bound
+        ]
         return sum(rates) / len(rates) if rates else 0.0
 
     # -- marks
 
     def _owe(self, now: float, client: Client) -> None:
         mark, client.told = client.told, None
-        needs = {(stream, kind): due for stream in client.streams for kind, line in stream.lines.items()
-                 if kind in BY_TABLE and (due := line.behind(self.shelf(client, kind)))}
+        needs = {
+            (stream, kind): due
+            for stream in client.streams
+            for kind, line in stream.lines.items()
+            if kind in BY_TABLE and (due := line.behind(self.shelf(client, kind)))
+        }
         client.owed.append(Owed(mark, now, needs))
         self._settle(now, client)
 
@@ -346,8 +404,11 @@
                 if stream.client is not client or line is None:
                     del owed.needs[stream, kind]
                     continue
-                for name in [name for name, seq in need.items()
-                             if line.held.get(name, -1) >= seq or not line.awaits(name)]:
+                for name in [
+                    name
+                    for name, seq in need.items()
+                    if line.held.get(name, -1) >= seq or not line.awaits(name)
+                ]:
                     del need[name]
                 if not need:
                     del owed.needs[stream, kind]
@@ -362,9 +423,10 @@
     # -- what goes out
 
     def dispatch(self, now: float) -> list[tuple[Stream, list[tuple[str, Push]]]]:
-        """What to send now, by stream, those first for whom it cannot wait; each counts as sent, and its stream has no
-        room until `written`. `again` tells that the budget left someone waiting for `budget.wait()` seconds, `more`
-        that this was one slice of a long work, so that what comes in meanwhile is not kept waiting."""
+        """What to send now, by stream, those first for whom it cannot wait; each counts as sent, and its
+        stream has no room until `written`. `again` tells that the budget left someone waiting for
+        `budget.wait()` seconds, `more` that this was one slice of a long work, so that what comes in
+        meanwhile is not kept waiting."""
         self.budget.turn(now)
         waiting, out, self.again, self.more = [], [], False, False
         for stream in self.dirty:
@@ -387,8 +449,11 @@
                     self.again = True
                     self.dirty[stream] = None
                     break
-                push = line.due(shelves[kind], lambda name: self._may_add(stream, shelves, kind, name),
-                                lambda name: self._may_remove(stream, shelves, kind, name))
+                push = line.due(
+                    shelves[kind],
+                    lambda name: self._may_add(stream, shelves, kind, name),
+                    lambda name: self._may_remove(stream, shelves, kind, name),
+                )
                 if push is None:
                     self.budget.give()
                 else:
@@ -409,20 +474,33 @@
 
     def _may_remove(self, stream: Stream, shelves: dict, kind: str, name: str) -> bool:
         """What builds on a cluster goes before it, as far as the incremental protocol can tell that."""
-        later = ORDER[ORDER.index(kind) + 1:] if kind in (CLUSTER, ENDPOINTS) else ()
-        return not any(line.delta and name in line.held and name not in shelves[one].items
-                       for one in later if (line := stream.lines.get(one)) is not None)
+        later = ORDER[ORDER.index(kind) + 1 :] if kind in (CLUSTER, ENDPOINTS) else ()
+        return not any(
+            line.delta and name in line.held and name not in shelves[one].items
+            for one in later
+            if (line := stream.lines.get(one)) is not None
+        )
 
     # -- for operators
 
     def status(self, now: float) -> list[dict]:
         """Each client as an operator would ask for it."""
-        return [{"id": one.id, "proxy": one.proxy, "zone": self.zone_names[one.zone], "shape": one.shape,
-                 "streams": len(one.streams), "bound": one.bound,
-                 "acked_s_ago": None if one.acked_at is None else round(now - one.acked_at, 3),
-                 "in_flight": sum(len(line.flights) for stream in one.streams for line in stream.lines.values()),
-                 "refused": [f"{kind}: {refusal.words}" for _, kind, refusal in one.refusals]}
-                for one in self.clients.values()]
+        return [
+            {
+                "id": one.id,
+                "proxy": one.proxy,
+                "zone": self.zone_names[one.zone],
+                "shape": one.shape,
+                "streams": len(one.streams),
+                "bound": one.bound,
+                "acked_s_ago": None if one.acked_at is None else round(now - one.acked_at, 3),
+                "in_flight": sum(
+                    len(line.flights) for stream in one.streams for line in stream.lines.values()
+                ),
+                "refused": [f"{kind}: {refusal.words}" for _, kind, refusal in one.refusals],
+            }
+            for one in self.clients.values()
+        ]
 
 
 def new_life(unix: float, seed: int) -> str:
--- a/oatcart/xds/limits.py
+++ b/oatcart/xds/limits.py
@@ -1,8 +1,8 @@
 """How much the front takes on, and who goes first when there is not enough for all. Free of I/O and clock.
 
-A push costs one from a budget that refills evenly; what takes a node out may use the part that is kept back and go
-into debt, so that it is never behind a queue. A return of all clients at once is taken in an order: those that are
-joined, then those that bring versions of an earlier stream, then new ones.
+A push costs one from a budget that refills evenly; what takes a node out may use the part that is kept back
+and go into debt, so that it is never behind a queue. A return of all clients at once is taken in an order:
+those that are joined, then those that bring versions of an earlier stream, then new ones.
 """
 
 from collections.abc import Iterable, Sequence
@@ -16,8 +16,8 @@
 
 
 class Refused(Exception):
-    """A request or a client that is not taken. `code`: a gRPC status's name; `after`: s, when to come back; 0: as it
-    stands it will be refused again."""
+    """A request or a client that is not taken. `code`: a gRPC status's name; `after`: s, when to come back;
+    0: as it stands it will be refused again."""
 
     def __init__(self, code: str, words: str, after: float = 0.0) -> None:
         super().__init__(words)
@@ -63,7 +63,7 @@
         self.clients, self.streams, self.names, self.a_second = clients, streams, names, a_second
 
     def client(self, known: int, waiting: int) -> None:
-        """A client that is not known yet asks; refused with a hint that spreads the return of those who wait."""
+        """A client that is not known yet asks; refused with a hint that spreads the returns."""
         if known >= self.clients:
             after = min(RETRY_MOST, max(RETRY_LEAST, waiting / self.a_second) + RETRY_LEAST)
             raise Refused("RESOURCE_EXHAUSTED", f"{self.clients} clients are served, no more", after)
@@ -73,9 +73,9 @@
             raise Refused("RESOURCE_EXHAUSTED", f"{names} names on one stream, {self.names} are served")
 
     def makes_way(self, streams: Sequence) -> list:
-        """Of one client's streams, oldest first, those that end for a newer one: a client that lost its connection
-        may leave streams behind whose end nobody sees."""
-        return list(streams[:max(0, len(streams) - self.streams)])
+        """Of one client's streams, oldest first, those that end for a newer one: a client that lost its
+        connection may leave streams behind whose end nobody sees."""
+        return list(streams[: max(0, len(streams) - self.streams)])
 
 
 def check_names(names: Iterable[str]) -> None:
--- a/oatcart/xds/loads.py
+++ b/oatcart/xds/loads.py
@@ -1,7 +1,8 @@
 """What clients' load reports say, checked: they become the module's `met` and `came`. Free of I/O and clock.
 
-Source: Envoy's load reporting service, v3. Its counts are of one interval. It has no durations, so where a client names
-none, a node's mean duration is taken from its work under way by Little's law: work under way = rate times duration.
+Source: Envoy's load reporting service, v3. Its counts are of one interval. It has no durations, so where a
+client names none, a node's mean duration is taken from its work under way by Little's law: work under way =
+rate times duration.
 """
 
 from collections.abc import Callable, Iterable, Sequence
@@ -10,9 +11,10 @@
 
 from oatcart.handover import LOAD_MOST
 
-COUNT_MOST = 10 ** 7  # reqs of one interval: more than a client meets in any
+COUNT_MOST = 10**7  # reqs of one interval: more than a client meets in any
 SPAN_MOST = 3600.0  # s; no interval is longer
-TOOK, BUSY = "oatcart.took_ms", "cpu_utilization"  # named metrics that clients may report: a sum of ms, of shares
+# named metrics that clients may report: a sum of ms, of shares
+TOOK, BUSY = "oatcart.took_ms", "cpu_utilization"
 SLACK = 1  # reqs by which counts that are read one after the other may disagree
 PLACES_MOST = 4096  # nodes of one client of which the work under way is remembered
 
@@ -38,14 +40,21 @@
 
 
 class Books:
-    """What is remembered of one stream of reports: the work under way at each node, by which the next report must add
-    up. What does not fit costs that node's or that cluster's part of the report alone."""
+    """What is remembered of one stream of reports: the work under way at each node, by which the next report
+    must add up. What does not fit costs that node's or that cluster's part of the report alone."""
 
     def __init__(self) -> None:
         self.under_way: dict[tuple, int] = {}
 
-    def read(self, reports: Iterable[ClusterReport], proxy: int, zone: int, kinds: dict[str, int],
-             place: Callable[[object], int | None], odd: Callable[[str], None]) -> list[tuple]:
+    def read(
+        self,
+        reports: Iterable[ClusterReport],
+        proxy: int,
+        zone: int,
+        kinds: dict[str, int],
+        place: Callable[[object], int | None],
+        odd: Callable[[str], None],
+    ) -> list[tuple]:
         """The arrivals that a report stands for. `place`: a node's number, None where nobody knows it."""
         out = []
         for one in reports:
@@ -57,8 +66,15 @@
                 out += self._cluster(one, proxy, zone, kinds[one.cluster], place, odd)
         return out
 
-    def _cluster(self, one: ClusterReport, proxy: int, zone: int, kind: int, place: Callable,
-                 odd: Callable[[str], None]) -> list[tuple]:
+    def _cluster(
+        self,
+        one: ClusterReport,
+        proxy: int,
+        zone: int,
+        kind: int,
+        place: Callable,
+        odd: Callable[[str], None],
+    ) -> list[tuple]:
         out = []
         for at, tally in one.met:
             node = place(at)
@@ -71,10 +87,23 @@
                 continue
             tried = tally.good + tally.errored
             if tried:
-                out.append(("met", node, zone, one.over, took(tally, one.over), tally.errored, tried,
-                            (None, busy(tally), None)))
+                out.append(
+                    (
+                        "met",
+                        node,
+                        zone,
+                        one.over,
+                        took(tally, one.over),
+                        tally.errored,
+                        tried,
+                        (None, busy(tally), None),
+                    )
+                )
         sums = [tally for tally in one.whole if not _unfit(tally)]
-        came, errored = sum(tally.issued for tally in sums) + one.dropped, sum(tally.errored for tally in sums)
+        came, errored = (
+            sum(tally.issued for tally in sums) + one.dropped,
+            sum(tally.errored for tally in sums),
+        )
         if 0 <= one.dropped <= COUNT_MOST and len(sums) == len(one.whole) and came <= COUNT_MOST:
             out.append(("came", proxy, kind, came, errored, one.over))
         else:
@@ -82,7 +111,9 @@
         return out
 
     def _wrong(self, at: tuple, tally: Tally) -> str:
-        """What in the numbers can't be: more were done than were issued or under way, as where a sum runs backwards."""
+        """What in the numbers can't be: more were done than were issued or under way, as where a sum runs
+        backwards.
+        """
         if unfit := _unfit(tally):
             return unfit
         before = self.under_way.pop(at, None)
--- a/oatcart/xds/nested.py
+++ b/oatcart/xds/nested.py
@@ -1,7 +1,7 @@
 """The conductor's epoll loop inside an asyncio loop: one thread, no locks.
 
-An epoll descriptor is readable while any of its own is, so asyncio waits for it as for a socket and has the inner loop
-take its turn; the inner loop's next timer is one of asyncio's.
+An epoll descriptor is readable while any of its own is, so asyncio waits for it as for a socket and has the
+inner loop take its turn; the inner loop's next timer is one of asyncio's.
 """
 
 import asyncio
