xDS: a withdrawal brings the replacements that a client would be without

Cause: additions wait for the answer to the push in flight, withdrawals don't. Endpoints that restarted were withdrawn at once and their return waited; the next withdrawal took the last one that the client held. Evidence: pushes printed in the history of tests/xds/test_histories.py: an urgent push with n2 alone as DRAINING, n3 and n4 outdated behind a late answer. The same with 1,000 pushes a second, so it is not the budget. Change: a subscription counts by assignment the endpoints that were sent; a withdrawal that leaves none takes its replacements along, and a client that has none gets the next endpoint without waiting.

--- a/oatcart/xds/subscription.py
+++ b/oatcart/xds/subscription.py
@@ -2,7 +2,8 @@
 
 Source: Envoy's xDS protocol, state-of-the-world and incremental, with its section on make before break. One
 push is in flight and changes are merged while it is; a withdrawal overtakes it and is never merged away
-(`CachedResource.next_after`). What a client rejected is not sent to it again until its content changes.
+(`CachedResource.next_after`). One that would leave the client without an endpoint brings its replacements
+along. What a client rejected is not sent to it again until its content changes.
 """
 
 from collections import deque
@@ -11,6 +12,7 @@
 
 from oatcart.xds.push import Push, PushInFlight, Rejection
 from oatcart.xds.resource_cache import ResourceCache, ResourceContent, digest
+from oatcart.xds.sent_endpoints import SentEndpoints, replacements
 
 IN_FLIGHT_MAX = 8  # pushes that await their answer; the answer to an older one counts as stale
 WILDCARD = "*"  # subscribes to all resources of a type
@@ -47,6 +49,7 @@
     wildcard: bool = False
     requested: bool = False  # there was a request
     sent: dict[str, int] = field(default_factory=dict)  # by name: sequence number last sent
+    sent_endpoints: SentEndpoints = field(default_factory=SentEndpoints)
     acknowledged: dict[str, int] = field(default_factory=dict)  # by name: sequence number
     initial_versions: dict[str, str] = field(default_factory=dict)  # by name, of an earlier stream
     in_flight: deque[PushInFlight] = field(default_factory=lambda: deque(maxlen=IN_FLIGHT_MAX))
@@ -125,6 +128,7 @@
     def _forget(self, name: str) -> None:
         for names in self.sent, self.acknowledged, self.rejected, self.retry_alone, self.initial_versions:
             names.pop(name, None)
+        self.sent_endpoints.forget(name)
 
     def _subscribes(self, name: str) -> bool:
         return self.wildcard or name in self.subscribed or collection_of(name) in self.subscribed
@@ -181,11 +185,26 @@
 
     def may_be_urgent(self, cache: ResourceCache) -> bool:
         """Whether something may be urgent; cheap, as all subscriptions are asked to find whose turn it is."""
-        return (
-            self.requested and cache.ready and cache.last_urgent > self.not_urgent_up_to and bool(self.sent)
-        )
+        if not self.requested or not cache.ready or not self.sent:
+            return False
+        latest = cache.sequence if self.sent_endpoints.empty_groups else cache.last_urgent
+        return latest > self.not_urgent_up_to
+
+    def _urgent_names(self, cache: ResourceCache, ready: list[str]) -> list[str]:
+        """Of those that may be sent, the names that wait for no answer: withdrawals, and the replacements of
+        what they withdraw where the client would be left without an endpoint.
+        """
+        withdrawals = [name for name in ready if self._is_withdrawal(cache, name)]
+        if not withdrawals and not self.sent_endpoints.empty_groups:
+            return []
+        pickable = {name: self._next_pickable(name, cache) for name in ready}
+        emptied = self.sent_endpoints.emptied_by({name: pickable[name] for name in withdrawals})
+        return list(dict.fromkeys([*withdrawals, *replacements(emptied, pickable)]))
+
+    def _next_pickable(self, name: str, cache: ResourceCache) -> frozenset:
+        return self._next_content(name, cache).pickable if name in cache.resources else frozenset()
 
-    def _is_urgent(self, cache: ResourceCache, name: str) -> bool:
+    def _is_withdrawal(self, cache: ResourceCache, name: str) -> bool:
         resource = cache.resources.get(name)
         return (
             resource.last_urgent > self.sent.get(name, NOT_SENT) > NOT_SENT
@@ -224,6 +243,7 @@
             self.sent[name] = NOT_SENT
             if resource is not None and resource.current.version == version:
                 self.sent[name] = self.acknowledged[name] = resource.current.sequence
+                self.sent_endpoints.record(name, resource.current.pickable)
 
     def _is_outdated(self, name: str, cache: ResourceCache) -> bool:
         resource, sent = cache.resources.get(name), self.sent.get(name)
@@ -251,7 +271,7 @@
         ):
             return None
         ready = [name for name in self.outdated if self._may_send(name, cache, may_add, may_remove)]
-        urgent = [name for name in ready if self._is_urgent(cache, name)]
+        urgent = self._urgent_names(cache, ready)
         self.not_urgent_up_to = self.not_urgent_up_to if urgent else cache.sequence
         if self.in_flight and not urgent:
             return None
@@ -326,6 +346,10 @@
             )
         )
         self.sent |= sequences
+        for name, content in items:
+            self.sent_endpoints.record(name, content.pickable)
+        for name in removed:
+            self.sent_endpoints.record(name, frozenset())
         for name, sequence in sequences.items():
             if name in cache.resources and sequence != cache.resources[name].current.sequence:
                 self.outdated[name] = None  # an earlier withdrawal: the current content is still to be sent
