xDS: a withdrawal waits for one push of the budget, not for its whole debt

Callers saw: after a series of drains that spent the push budget, clients sent to the next draining endpoint for up to 2 s more than the budget asks for. Cause: the server asked again after PushBudget.wait(), the time until a push that can wait may be sent: after the whole debt. A timer already set for such a push was not set anew for a withdrawal. Evidence: at 8 a second and full debt wait() says 2.125 s; a withdrawal passes after 0.125 s. Change: the front answers when to ask again by the most urgent of those that wait; the timer is set after each dispatch.

--- a/oatcart/xds/front.py
+++ b/oatcart/xds/front.py
@@ -142,7 +142,7 @@
         self.drops: dict[tuple[int, int], int] = {}  # by zone and kind
         self.dirty: dict[Stream, None] = {}
         self.more = False  # work is left over from this slice
-        self.again = False  # the budget left someone waiting
+        self.again_in: float | None = None  # s until the budget has a push for who waits; None: nobody does
         for kind, _ in self.kinds:
             self._cache(LISTENER).put(0.0, kind, view.Listener(kind))
             for shape in view.WHOLE, view.EACH, view.SPREAD:
@@ -454,11 +454,11 @@
 
     def dispatch(self, now: float) -> list[tuple[Stream, list[tuple[str, Push]]]]:
         """What to send now, by stream, those first for whom it cannot wait; each counts as sent, and its
-        stream has no room until `written`. `again` tells that the budget left someone waiting for
-        `budget.wait()` seconds, `more` that this was one slice of a long work, so that what comes in
-        meanwhile is not kept waiting."""
+        stream has no room until `written`. `again_in` tells when to ask again as the budget left someone
+        waiting, `more` that this was one slice of a long work, so that what comes in meanwhile is not kept
+        waiting."""
         self.budget.advance(now)
-        waiting, out, self.again, self.more = [], [], False, False
+        waiting, out, self.again_in, self.more = [], [], None, False
         for stream in self.dirty:
             if stream.room and stream.client is not None:
                 caches = {kind: self.cache_for(stream.client, kind) for kind in stream.subscriptions}
@@ -480,8 +480,10 @@
                 subscription = stream.subscriptions.get(kind)
                 if subscription is None:
                     continue
-                if not self.budget.take(priority == PushPriority.URGENT):
-                    self.again = True
+                urgent = priority == PushPriority.URGENT
+                if not self.budget.take(urgent):
+                    wait = self.budget.wait(urgent)
+                    self.again_in = wait if self.again_in is None else min(wait, self.again_in)
                     self.dirty[stream] = None
                     break
                 push = subscription.next_push(
--- a/oatcart/xds/limits.py
+++ b/oatcart/xds/limits.py
@@ -53,8 +53,7 @@
 
     def take(self, urgent: bool) -> bool:
         """Take one push, if there is one; an urgent push may put the budget in debt."""
-        lowest = -self.pushes_per_second * URGENT_DEBT if urgent else 0.0
-        if self.available - 1.0 < lowest:
+        if self.available - 1.0 < self._lowest(urgent):
             return False
         self.available -= 1.0
         return True
@@ -63,9 +62,12 @@
         """Return a push that was taken and not sent."""
         self.available += 1.0
 
-    def wait(self) -> float:
-        """The time until a push that isn't urgent may be sent, s."""
-        return max(0.0, (1.0 - self.available) / self.pushes_per_second)
+    def wait(self, urgent: bool = False) -> float:
+        """The time until one more push may be sent, s."""
+        return max(0.0, (1.0 + self._lowest(urgent) - self.available) / self.pushes_per_second)
+
+    def _lowest(self, urgent: bool) -> float:
+        return -self.pushes_per_second * URGENT_DEBT if urgent else 0.0
 
 
 class ClientLimits:
--- a/oatcart/xds/server.py
+++ b/oatcart/xds/server.py
@@ -142,12 +142,11 @@
             live.wake.set()
         if self.front.more:
             self.soon()
-        if self.front.again and self.timer is None:
-            self.timer = self.loop.call_later(self.front.budget.wait(), self._again)
-
-    def _again(self) -> None:
-        self.timer = None
-        self.dispatch()
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.front.again_in is not None:
+            self.timer = self.loop.call_later(self.front.again_in, self.dispatch)
 
     def _serving(self, delta: bool, only: str | None) -> Callable[..., Awaitable[None]]:
         async def serve(requests: object, context: grpc.aio.ServicerContext) -> None:
