xDS: clients that return see a drain within its deadline, also when all return

Callers saw: with 8 pushes a second, clients that were away while an endpoint drained sent to it for over 2 s after they came back: 1 of 6, 15 of 20, 35 of 40 (state of the world), 0, 4, 24 (incremental). Cause: (a) a withdrawal was judged by what was sent on this stream, so a first push ranked as one that can wait, though the client holds endpoints of its former stream; (c) routes were paid before endpoints; (b) clients were let in faster than their first pushes could be sent. Evidence: of 16 pushes in 2 s to 20 clients 6 were clusters, 5 endpoints, 5 routes, and the debt for withdrawals stood unused. Change: what a client brought is kept until it is sent more: unknown ranks as a withdrawal. First pushes of clients that bring versions are paid in advance from an account of their own, repaid after what drains borrowed; where it is empty they are refused with the time to come back. Only types that a drain needs may borrow. tests/xds/sim.py: a peer that is turned away comes back when told; the state machine's rest waits for that, bounded.

--- a/oatcart/xds/front.py
+++ b/oatcart/xds/front.py
@@ -24,6 +24,7 @@
     PushBudget,
     PushPriority,
     RequestRejectedError,
+    ReturnAdmission,
     check_names,
     push_priority,
 )
@@ -34,6 +35,8 @@
 CLUSTER, ENDPOINTS, MEMBER, LISTENER, ROUTE = "cluster", "endpoints", "member", "listener", "route"
 ORDER = (CLUSTER, ENDPOINTS, MEMBER, LISTENER, ROUTE)  # makes go in this order, breaks against it
 WHOLE_TYPES = (CLUSTER, LISTENER)  # the state-of-the-world protocol has each push hold all of them
+CARRIES_ENDPOINTS = (ENDPOINTS, MEMBER)
+FIRST_PUSHES = (CLUSTER, ENDPOINTS, MEMBER)  # what a returning client needs until it misses no withdrawal
 BY_TABLE = (ENDPOINTS, MEMBER, ROUTE)  # depend on the client's tables
 MARKS_OWED = 8  # marks of one client that are not acknowledged; the module waits for none so long
 REJECTIONS_KEPT = 8  # of a client, for the operator
@@ -83,6 +86,8 @@
     room: bool = True  # the transport takes another push
     primed: bool = False  # it was sent endpoints
     returning: bool = False
+    admitted: bool = False  # its first pushes were paid in advance
+    prepaid: int = 0  # of them, those that are not sent yet
 
 
 @dataclass(eq=False, slots=True)
@@ -110,6 +115,20 @@
     acked_at: float | None = None
 
 
+class Turn(NamedTuple):
+    """A stream whose turn it may be. `urgent`: the types whose pushes may borrow from the budget."""
+
+    priority: PushPriority
+    first_pushes: bool  # connected clients' withdrawals go before those of clients that return
+    stream: Stream
+    caches: dict[str, ResourceCache]
+    urgent: frozenset[str]
+
+    def order(self) -> tuple[int, bool, int]:
+        """The sort key: the lowest first."""
+        return self.priority, self.first_pushes, self.stream.key
+
+
 class Front:
     """`first`: the number of the first xDS client as a proxy. `life`: begins nonces, another in each life."""
 
@@ -129,6 +148,7 @@
         self.host, self.kinds, self.zones = host, list(kinds), {name: at for at, name in enumerate(zones)}
         self.zone_names, self.first, self.life = list(zones), first, life
         self.limits, self.budget, self.by_rate, self.home, self.say = limits, budget, by_rate, home, say
+        self.returns = ReturnAdmission(budget)
         self.clients: dict[str, Client] = {}
         self.by_proxy: dict[int, Client] = {}
         self.free: list[int] = []
@@ -178,14 +198,17 @@
         if stream.only is not None and ask.type != stream.only:
             raise RequestRejectedError("INVALID_ARGUMENT", f"this stream is for {stream.only} alone")
         check_names((*ask.names, *ask.unsubscribe, *ask.brought))
-        ended = self._admit(stream, ask)
+        ended = self._admit(now, stream, ask)
         subscription = stream.subscriptions.get(ask.type)
         if subscription is None:
             whole = not stream.delta and ask.type in WHOLE_TYPES
             subscription = Subscription(
                 stream.delta, whole, f"{self.life}.{stream.key}.{ask.type[0]}", ask.type in WHOLE_TYPES
             )
+            subscription.carries_endpoints = ask.type in CARRIES_ENDPOINTS
             subscription.returning = bool(ask.brought or ask.version)
+            if subscription.carries_endpoints:
+                subscription.initial_push_version = ask.version
         self.limits.check_name_count(
             sum(len(one.subscribed) for one in stream.subscriptions.values())
             + len(ask.names)
@@ -209,8 +232,9 @@
         self.dirty[stream] = None
         return ended
 
-    def _admit(self, stream: Stream, ask: Ask) -> list[Stream]:
+    def _admit(self, now: float, stream: Stream, ask: Ask) -> list[Stream]:
         if stream.client is not None:
+            self._prepay(now, stream, ask, stream.client.shape)
             return []
         node = ask.node
         if node is None or not node.id or not node.id.isprintable():
@@ -229,20 +253,42 @@
             self.limits.check_new_client(
                 len(self.clients), sum(not one.bound for one in self.clients.values())
             )
-            proxy = self.free.pop() if self.free else self.first + len(self.clients)
-            client = Client(node.id, proxy, self.zones[zone], node.shape, [0.0] * len(self.kinds))
-            self.clients[node.id] = self.by_proxy[proxy] = client
-            stream.returning = node.id in self.known
         elif (client.zone, client.shape) != (self.zones[zone], node.shape):
             raise RequestRejectedError(
                 "FAILED_PRECONDITION",
                 f"{node.id[:80]!r} is joined from {self.zone_names[client.zone]} "
                 f"as {client.shape}: an id is one client's",
             )
+        self._prepay(now, stream, ask, node.shape)
+        if client is None:
+            client = self._add_client(node, self.zones[zone])
+            stream.returning = node.id in self.known
         stream.client = client
         client.streams.append(stream)
         return self.limits.superseded(client.streams)
 
+    def _add_client(self, node: Node, zone: int) -> Client:
+        proxy = self.free.pop() if self.free else self.first + len(self.clients)
+        client = Client(node.id, proxy, zone, node.shape, [0.0] * len(self.kinds))
+        self.clients[node.id] = self.by_proxy[proxy] = client
+        return client
+
+    def _prepay(self, now: float, stream: Stream, ask: Ask, shape: str) -> None:
+        """Pay in advance what a returning client has to be sent before it misses no withdrawal.
+
+        Raises RequestRejectedError if more return than can be sent that in time.
+        """
+        if stream.admitted or ask.type not in FIRST_PUSHES or not (ask.brought or ask.version):
+            return
+        self.budget.advance(now)
+        pushes = len(FIRST_PUSHES) if shape == view.EACH else len(FIRST_PUSHES) - 1
+        self.returns.admit(now, pushes)
+        stream.admitted, stream.prepaid = True, pushes
+
+    def _refund(self, stream: Stream) -> None:
+        self.budget.refund(stream.prepaid)
+        stream.prepaid = 0
+
     def _join(self, client: Client) -> None:
         if not client.joined:
             client.joined = True
@@ -252,6 +298,7 @@
     def close(self, now: float, stream: Stream) -> None:
         """A stream is over; with its last one a client has left."""
         self.dirty.pop(stream, None)
+        self._refund(stream)
         client, stream.client = stream.client, None
         if client is None or stream not in client.streams:
             return
@@ -458,50 +505,72 @@
         waiting, `more` that this was one slice of a long work, so that what comes in meanwhile is not kept
         waiting."""
         self.budget.advance(now)
-        waiting, out, self.again_in, self.more = [], [], None, False
-        for stream in self.dirty:
-            if stream.room and stream.client is not None:
-                caches = {kind: self.cache_for(stream.client, kind) for kind in stream.subscriptions}
-                urgent = any(
-                    subscription.may_be_urgent(caches[kind])
-                    for kind, subscription in stream.subscriptions.items()
-                )
-                waiting.append(
-                    (push_priority(urgent, stream.primed, stream.returning), stream.key, stream, caches)
-                )
+        out, self.again_in, self.more = [], None, False
+        waiting = [self._turn(stream) for stream in self.dirty if stream.room and stream.client is not None]
         self.dirty, left = {}, SLICE
-        for priority, _, stream, caches in sorted(waiting, key=lambda one: one[:2]):
+        for turn in sorted(waiting, key=Turn.order):
             if left <= 0:
                 self.more = True
-                self.dirty[stream] = None
+                self.dirty[turn.stream] = None
                 continue
-            pushes = []
-            for kind in ORDER:
-                subscription = stream.subscriptions.get(kind)
-                if subscription is None:
-                    continue
-                urgent = priority == PushPriority.URGENT
-                if not self.budget.take(urgent):
-                    wait = self.budget.wait(urgent)
-                    self.again_in = wait if self.again_in is None else min(wait, self.again_in)
-                    self.dirty[stream] = None
-                    break
-                push = subscription.next_push(
-                    caches[kind],
-                    lambda name: self._may_add(stream, caches, kind, name),
-                    lambda name: self._may_remove(stream, caches, kind, name),
-                )
-                if push is None:
-                    self.budget.give_back()
-                else:
-                    pushes.append((kind, push))
-                    left -= len(push.items)
-                    stream.primed = stream.primed or kind == ENDPOINTS
+            pushes = self._pushes(turn)
+            left -= sum(len(push.items) for _, push in pushes)
             if pushes:
-                stream.room = False
-                out.append((stream, pushes))
+                turn.stream.room = False
+                out.append((turn.stream, pushes))
+            if turn.stream.prepaid and self._misses_nothing(turn.stream):
+                self._refund(turn.stream)
         return out
 
+    def _turn(self, stream: Stream) -> Turn:
+        caches = {kind: self.cache_for(stream.client, kind) for kind in stream.subscriptions}
+        urgent = {
+            kind
+            for kind, subscription in stream.subscriptions.items()
+            if subscription.may_be_urgent(caches[kind])
+        }
+        if not stream.primed and urgent & set(CARRIES_ENDPOINTS):
+            urgent.add(CLUSTER)  # its endpoints are sent after it
+        priority = push_priority(bool(urgent), stream.primed, stream.returning)
+        return Turn(priority, not stream.primed, stream, caches, frozenset(urgent))
+
+    def _pushes(self, turn: Turn) -> list[tuple[str, Push]]:
+        """What a stream is sent now, of what the budget allows."""
+        pushes, stream = [], turn.stream
+        for kind in ORDER:
+            subscription = stream.subscriptions.get(kind)
+            if subscription is None:
+                continue
+            prepaid = stream.prepaid > 0 and kind in FIRST_PUSHES
+            if not prepaid and not self.budget.take(kind in turn.urgent):
+                self._wait_for_budget(stream, kind in turn.urgent)
+                continue
+            push = subscription.next_push(
+                turn.caches[kind],
+                lambda name: self._may_add(stream, turn.caches, kind, name),
+                lambda name: self._may_remove(stream, turn.caches, kind, name),
+            )
+            if push is not None:
+                pushes.append((kind, push))
+                stream.prepaid -= prepaid
+                stream.primed = stream.primed or kind == ENDPOINTS
+            elif not prepaid:
+                self.budget.give_back()
+        return pushes
+
+    def _wait_for_budget(self, stream: Stream, urgent: bool) -> None:
+        wait = self.budget.wait(urgent)
+        self.again_in = wait if self.again_in is None else min(wait, self.again_in)
+        self.dirty[stream] = None
+
+    def _misses_nothing(self, stream: Stream) -> bool:
+        """Whether a returning client was sent all withdrawals that it may have missed."""
+        carriers = [stream.subscriptions.get(kind) for kind in CARRIES_ENDPOINTS]
+        expected = carriers if stream.client.shape == view.EACH else carriers[:1]
+        return stream.client.bound and not any(
+            subscription is None or subscription.may_miss_withdrawals() for subscription in expected
+        )
+
     def _may_add(self, stream: Stream, caches: dict, kind: str, name: str) -> bool:
         """A client that asks for a cluster gets what builds on it once it has taken the cluster. One that
         holds resources of an earlier stream sends requests by them, so it gets what replaces them right after
--- a/oatcart/xds/limits.py
+++ b/oatcart/xds/limits.py
@@ -1,8 +1,10 @@
 """Limits of what the xDS front accepts, and whose push goes first when the push budget is short.
 
 Free of I/O and clock. A push takes one from a budget that refills evenly. A withdrawal may put the budget in
-debt, so that it never waits behind a queue. When all clients return at once, connected clients go first, then
-those that hold versions of an earlier stream, then new ones.
+debt, so that it never waits behind a queue. A client that returns with resources of an earlier stream may
+hold what was withdrawn meanwhile: its first pushes are paid in advance, from an account apart, so that they
+neither wait nor use up what withdrawals may borrow. Where that account is used up the client is told when to
+come back.
 """
 
 from collections.abc import Iterable, Sequence
@@ -10,6 +12,9 @@
 
 BURST = 0.25  # s; the pushes of this time may be sent at once
 URGENT_DEBT = 2.0  # s; urgent pushes may borrow the pushes of this time
+RETURN_DEBT = 3.0  # s; first pushes of returning clients may be paid with the pushes of this time
+RETURN_REFILL_SHARE = 0.5  # of the refill, while connected clients have pushes that may wait
+FIRST_PUSHES_MAX = 3  # of a returning client: clusters, endpoints, and endpoints as resources of their own
 NAME_LENGTH_MAX = 512  # characters; the xdstp names of collections are long
 QUOTED_LENGTH_MAX = 80  # characters of a client's value that an error quotes
 RETRY_AFTER_MIN = 0.25  # s
@@ -42,15 +47,42 @@
         self.pushes_per_second = pushes_per_second
         self.burst = max(1.0, pushes_per_second * BURST)  # pushes
         self.available = self.burst  # pushes; below 0 in debt
+        self.returning_debt = 0.0  # pushes that were paid in advance and are to be repaid
+        self.returning_debt_max = max(FIRST_PUSHES_MAX, pushes_per_second * RETURN_DEBT)
         self.advanced_at: float | None = None  # s
 
     def advance(self, now: float) -> None:
         """Refill for the time since the last call. `now`: s."""
         if self.advanced_at is not None:
-            refill = max(0.0, now - self.advanced_at) * self.pushes_per_second
-            self.available = min(self.burst, self.available + refill)
+            self._refill(max(0.0, now - self.advanced_at) * self.pushes_per_second)
         self.advanced_at = now
 
+    def _refill(self, pushes: float) -> None:
+        """Repay what withdrawals borrowed first, so that returning clients delay no withdrawal."""
+        borrowed = min(pushes, max(0.0, -self.available))
+        self.available += borrowed
+        pushes -= borrowed
+        share = 1.0 if self.available >= self.burst else RETURN_REFILL_SHARE
+        repaid = min(self.returning_debt, pushes * share)
+        self.returning_debt -= repaid
+        self.available = min(self.burst, self.available + pushes - repaid)
+
+    def prepay(self, pushes: int) -> bool:
+        """Pay the first pushes of a returning client in advance, if the account allows it."""
+        if self.returning_debt + pushes > self.returning_debt_max:
+            return False
+        self.returning_debt += pushes
+        return True
+
+    def refund(self, pushes: int) -> None:
+        """Return pushes that were paid in advance and not sent."""
+        self.returning_debt = max(0.0, self.returning_debt - pushes)
+
+    def prepay_wait(self, pushes: int) -> float:
+        """The time until so many pushes can be paid in advance if nobody else does so, s."""
+        missing = self.returning_debt + pushes - self.returning_debt_max
+        return max(0.0, missing) / (self.pushes_per_second * RETURN_REFILL_SHARE)
+
     def take(self, urgent: bool) -> bool:
         """Take one push, if there is one; an urgent push may put the budget in debt."""
         if self.available - 1.0 < self._lowest(urgent):
@@ -70,6 +102,38 @@
         return -self.pushes_per_second * URGENT_DEBT if urgent else 0.0
 
 
+class ReturnAdmission:
+    """Lets clients return no faster than their first pushes can be sent within the drain deadline.
+
+    >>> budget = PushBudget(1.0)
+    >>> admission = ReturnAdmission(budget)
+    >>> admission.admit(0.0, 3)
+    >>> admission.admit(0.0, 3)
+    Traceback (most recent call last):
+    oatcart.xds.limits.RequestRejectedError: more clients return than can be sent their endpoints in time
+    """
+
+    def __init__(self, budget: PushBudget) -> None:
+        self.budget = budget
+        self.next_at = 0.0  # s; when the next client that is turned away is told to come back
+
+    def admit(self, now: float, pushes: int) -> None:
+        """Pay a client's first pushes, or raise RequestRejectedError. `now`: s.
+
+        Those that are turned away together are told times one after another.
+        """
+        if self.budget.prepay(pushes):
+            return
+        earliest = now + self.budget.prepay_wait(pushes)
+        one_client = pushes / (self.budget.pushes_per_second * RETURN_REFILL_SHARE)
+        self.next_at = min(max(earliest, self.next_at + one_client), now + RETRY_AFTER_MAX)
+        raise RequestRejectedError(
+            "RESOURCE_EXHAUSTED",
+            "more clients return than can be sent their endpoints in time",
+            max(RETRY_AFTER_MIN, self.next_at - now),
+        )
+
+
 class ClientLimits:
     """The most clients, streams of one client, and names that one stream subscribes to."""
 
--- a/oatcart/xds/sent_endpoints.py
+++ b/oatcart/xds/sent_endpoints.py
@@ -47,6 +47,13 @@
         else:
             self.empty_groups.add(group)
 
+    def expect(self, name: str) -> None:
+        """The client holds the resource from an earlier stream, with endpoints that aren't known."""
+        group = endpoint_group(name)
+        if group not in self.counts:
+            self.counts[group] = 0
+            self.empty_groups.add(group)
+
     def forget(self, name: str) -> None:
         """The client gave up the resource by itself: its group owes it nothing."""
         self.record(name, frozenset())
--- a/oatcart/xds/subscription.py
+++ b/oatcart/xds/subscription.py
@@ -19,6 +19,7 @@
 COLLECTION_SUFFIX = "/*"  # ends a name that stands for all resources under it
 NOT_SENT = -1  # in place of a sequence number: nothing was sent
 TOLD_ABSENT = -2  # in place of a sequence number: the client was told that the resource doesn't exist
+HOLDS_UNKNOWN = -3  # in place of a sequence number: the client brought a version that isn't the current one
 
 
 def collection_of(name: str) -> str:
@@ -38,13 +39,16 @@
     `delta`: the incremental protocol; `sends_all`: each push holds all that is subscribed to, as the
     state-of-the-world protocol has it for listeners and clusters; `nonce_prefix` differs between streams, so
     that the answer to another stream's push is stale; `wildcard_allowed`: an empty first request subscribes
-    to all. Sequence numbers are those of the type's `ResourceCache`.
+    to all; `carries_endpoints`: its resources say where requests are sent, so a client that returns with
+    other versions than the current ones may miss a withdrawal. Sequence numbers are those of the type's
+    `ResourceCache`.
     """
 
     delta: bool
     sends_all: bool
     nonce_prefix: str
     wildcard_allowed: bool = True
+    carries_endpoints: bool = False
     subscribed: dict[str, None] = field(default_factory=dict)  # names
     wildcard: bool = False
     requested: bool = False  # there was a request
@@ -52,6 +56,8 @@
     sent_endpoints: SentEndpoints = field(default_factory=SentEndpoints)
     acknowledged: dict[str, int] = field(default_factory=dict)  # by name: sequence number
     initial_versions: dict[str, str] = field(default_factory=dict)  # by name, of an earlier stream
+    initial_push_version: str = ""  # of the last push accepted on an earlier stream; state of the world
+    held_before: dict[str, int] = field(default_factory=dict)  # by name: of an earlier stream, none sent yet
     in_flight: deque[PushInFlight] = field(default_factory=lambda: deque(maxlen=IN_FLIGHT_MAX))
     rejected: dict[str, str] = field(default_factory=dict)  # by name: the version
     rejected_push: str = ""  # the version of a push that was rejected as one
@@ -126,7 +132,14 @@
         return self._answer(nonce, error_message) if nonce else None
 
     def _forget(self, name: str) -> None:
-        for names in self.sent, self.acknowledged, self.rejected, self.retry_alone, self.initial_versions:
+        for names in (
+            self.sent,
+            self.acknowledged,
+            self.rejected,
+            self.retry_alone,
+            self.initial_versions,
+            self.held_before,
+        ):
             names.pop(name, None)
         self.sent_endpoints.forget(name)
 
@@ -185,11 +198,24 @@
 
     def may_be_urgent(self, cache: ResourceCache) -> bool:
         """Whether something may be urgent; cheap, as all subscriptions are asked to find whose turn it is."""
-        if not self.requested or not cache.ready or not self.sent:
+        if not self.requested or not cache.ready:
+            return False
+        if self.may_miss_withdrawals():
+            return True
+        if not self.sent and not self.held_before:
             return False
         latest = cache.sequence if self.sent_endpoints.empty_groups else cache.last_urgent
         return latest > self.not_urgent_up_to
 
+    def may_miss_withdrawals(self) -> bool:
+        """Whether the client brought versions that aren't compared with the current ones yet, or that differ
+        from them and were not replaced.
+        """
+        if not self.carries_endpoints:
+            return False
+        unmatched = bool(self.initial_versions or self.initial_push_version)
+        return unmatched or HOLDS_UNKNOWN in self.held_before.values()
+
     def _urgent_names(self, cache: ResourceCache, ready: list[str]) -> list[str]:
         """Of those that may be sent, the names that wait for no answer: withdrawals, and the replacements of
         what they withdraw where the client would be left without an endpoint.
@@ -205,12 +231,16 @@
         return self._next_content(name, cache).pickable if name in cache.resources else frozenset()
 
     def _is_withdrawal(self, cache: ResourceCache, name: str) -> bool:
+        held = self._held(name)
+        if held == HOLDS_UNKNOWN:
+            return True
         resource = cache.resources.get(name)
-        return (
-            resource.last_urgent > self.sent.get(name, NOT_SENT) > NOT_SENT
-            if resource
-            else self.sent.get(name, NOT_SENT) > NOT_SENT
-        )
+        return held > NOT_SENT and (resource is None or resource.last_urgent > held)
+
+    def _held(self, name: str) -> int:
+        """The sequence number that the client holds, as far as that is known."""
+        sent = self.sent.get(name, NOT_SENT)
+        return self.held_before.get(name, NOT_SENT) if sent == NOT_SENT else sent
 
     def _compare(self, cache: ResourceCache) -> None:
         """Bring `outdated` up to date."""
@@ -226,8 +256,11 @@
                 *self.initial_versions,
             ]
         self.compare_all, self.compared_up_to = False, cache.sequence
+        if self.initial_push_version:
+            self._match_initial_push(cache)
         for name in dict.fromkeys(changed):
             if name.endswith(COLLECTION_SUFFIX):
+                self.initial_versions.pop(name, None)
                 continue
             if name in self.initial_versions:
                 self._match_initial(name, cache)
@@ -235,6 +268,30 @@
                 self.outdated[name] = None
             else:
                 self.outdated.pop(name, None)
+                self.held_before.pop(name, None)
+
+    def _match_initial_push(self, cache: ResourceCache) -> None:
+        """The version of a push of an earlier stream: its resources are held if they are the current ones."""
+        current = {
+            name: resource.current for name, resource in cache.resources.items() if self._subscribes(name)
+        }
+        is_current = (
+            digest([content.version for content in current.values()], ()) == self.initial_push_version
+        )
+        for name, content in current.items():
+            self._hold_before(name, content if is_current else None)
+        self.initial_push_version = ""
+
+    def _hold_before(self, name: str, content: ResourceContent | None) -> None:
+        """The client holds this of an earlier stream; None: what it holds isn't known."""
+        if not self.carries_endpoints or self.sent.get(name, NOT_SENT) > NOT_SENT:
+            return
+        if content is None:
+            self.held_before[name] = HOLDS_UNKNOWN
+            self.sent_endpoints.expect(name)
+        else:
+            self.held_before[name] = content.sequence
+            self.sent_endpoints.record(name, content.pickable)
 
     def _match_initial(self, name: str, cache: ResourceCache) -> None:
         """A version of an earlier stream counts as acknowledged if it is current."""
@@ -244,6 +301,8 @@
             if resource is not None and resource.current.version == version:
                 self.sent[name] = self.acknowledged[name] = resource.current.sequence
                 self.sent_endpoints.record(name, resource.current.pickable)
+            else:
+                self._hold_before(name, None)
 
     def _is_outdated(self, name: str, cache: ResourceCache) -> bool:
         resource, sent = cache.resources.get(name), self.sent.get(name)
@@ -297,10 +356,9 @@
         return self.sent.get(name, NOT_SENT) > NOT_SENT or may_add(name)
 
     def _next_content(self, name: str, cache: ResourceCache) -> ResourceContent:
-        resource, sent = cache.resources[name], self.sent.get(name, NOT_SENT)
-        return (
-            resource.next_after(sent) if sent > NOT_SENT else resource.current
-        )  # a client that holds nothing can miss nothing
+        resource, held = cache.resources[name], self._held(name)
+        # a client that holds nothing can miss nothing
+        return resource.next_after(held) if held > NOT_SENT else resource.current
 
     def _push(self, names: list[str], cache: ResourceCache, urgent: bool) -> Push:
         found = {name: self._next_content(name, cache) for name in names if name in cache.resources}
@@ -350,6 +408,8 @@
             self.sent_endpoints.record(name, content.pickable)
         for name in removed:
             self.sent_endpoints.record(name, frozenset())
+        for name in sequences:
+            self.held_before.pop(name, None)
         for name, sequence in sequences.items():
             if name in cache.resources and sequence != cache.resources[name].current.sequence:
                 self.outdated[name] = None  # an earlier withdrawal: the current content is still to be sent
--- a/tests/xds/sim.py
+++ b/tests/xds/sim.py
@@ -28,7 +28,7 @@
 from oatcart.routing_tables import RoutingTables
 from oatcart.xds import view
 from oatcart.xds.front import CLUSTER, ENDPOINTS, MEMBER, ROUTE, Ask, Front, Node, new_life
-from oatcart.xds.limits import ClientLimits, PushBudget
+from oatcart.xds.limits import ClientLimits, PushBudget, RequestRejectedError
 from oatcart.xds.resource_cache import WITHDRAWAL_RETENTION
 
 KINDS = [
@@ -71,6 +71,7 @@
         self.refused = False  # on this stream
         self.refuses = None  # a node whose lists it does not want
         self.stream, self.owed = None, {}
+        self.come_back_at = None  # it was turned away with a time to come back at
         self.pushed = deque()
         self.picked = set()  # kinds for which it had a node to pick
 
@@ -84,6 +85,17 @@
             if kind != MEMBER or self.shape == view.EACH:
                 self.ask(kind, list(self.names[kind]))
 
+    def come(self):
+        """Connect, or come back when the front says so, as a client that follows Retry-After."""
+        self.come_back_at = None
+        self.since = self.stage.now
+        try:
+            self.connect()
+        except RequestRejectedError as rejected:
+            assert rejected.code == "RESOURCE_EXHAUSTED" and rejected.retry_after > 0
+            self.drop()
+            self.come_back_at = self.stage.now + rejected.retry_after
+
     def ask(self, kind, names=(), unsubscribe=(), nonce="", refusal=None):
         first = kind not in self.asked
         self.asked.add(kind)
@@ -121,13 +133,16 @@
                 del self.unanswered[one]
 
     def drop(self):
+        self.come_back_at = None
         if self.stream is not None:
             self.stage.front.close(self.stage.now, self.stream)
             self.stage.peers_by_stream.pop(self.stream, None)
             self.stream = None
 
     def turn(self):
-        """Read what has come, answer what is to be answered."""
+        """Come back if it is time, read what has come, answer what is to be answered."""
+        if self.come_back_at is not None and self.stage.now >= self.come_back_at:
+            self.come()
         while self.stream is not None and self.inbox and not self.stalled:
             for kind, push in self.inbox.popleft():
                 self.take(kind, push)
@@ -249,7 +264,7 @@
     def restart(self):
         self.peers_by_stream.clear()
         for peer in self.peers.values():
-            peer.stream = None
+            peer.stream = peer.come_back_at = None
         self.begin()
 
     def listed(self):
--- a/tests/xds/test_machine.py
+++ b/tests/xds/test_machine.py
@@ -21,13 +21,15 @@
 
 
 class Machine(RuleBasedStateMachine):
+    clients = 4
+
     @initialize(slow=st.booleans())
     def start(self, slow):
         self.stage = Stage(pushes=8.0 if slow else 1000.0)
         self.slow = slow
         self.stage.list = {place: (place % 2, 0.0, EndpointState.READY) for place in range(6)}
         self.stage.listed()
-        for at in range(4):
+        for at in range(self.clients):
             self.connect(at)
         self.goes_on(8)
 
@@ -39,7 +41,7 @@
         from sim import Peer
 
         if at not in self.stage.peers:
-            self.stage.peers[at] = Peer(self.stage, f"p{at}", at % 2, *SHAPES[at])
+            self.stage.peers[at] = Peer(self.stage, f"p{at}", at % 2, *SHAPES[at % 4])
             self.stage.peers[at].names["endpoints"] = {name: None for name, _ in KINDS}
             self.stage.peers[at].names["route"] = {name: None for name, _ in KINDS}
         return self.stage.peers[at]
@@ -48,8 +50,7 @@
     def connect(self, at):
         peer = self.peer(at)
         if peer.stream is None:
-            peer.since = self.stage.now
-            peer.connect()
+            peer.come()
 
     @rule(at=PEERS)
     def lose(self, at):
@@ -64,8 +65,7 @@
         if peer.stream is not None:
             old = peer.stream
             self.stage.peers_by_stream.pop(old)
-            peer.since = self.stage.now
-            peer.connect()
+            peer.come()
             self.stage.front.close(self.stage.now, old)
 
     @rule(at=PEERS, late=st.sampled_from([True, True, False]))
@@ -147,13 +147,15 @@
             if peer.refused:  # a refused content is not sent again, so whoever refused comes anew
                 peer.drop()
             if peer.stream is None:
-                peer.since = stage.now
-                peer.connect()
-        still, last = 0, None
+                peer.come()
+        still, last, turns = 0, None, 0
         while still < 32:  # turns in which the module changed nothing; scores go on rising for a while
             stage.turn()
+            turns += 1
+            assert turns < 800, "somebody is turned away for ever, or the module never rests"
             now = sum(cache.sequence for cache in stage.front.caches.values())
-            still, last = (still + 1 if now == last else 0), now
+            all_here = all(peer.stream is not None for peer in stage.peers.values())
+            still, last = (still + 1 if now == last and all_here else 0), now
         for peer in stage.peers.values():
             for kind, (name, _) in enumerate(KINDS):
                 if name in peer.names["endpoints"]:
@@ -171,7 +173,7 @@
     def turn(self):
         if hasattr(self, "stage"):
             self.stage.turn()
-            assert len(self.stage.front.clients) <= 4
+            assert len(self.stage.front.clients) <= self.clients
 
 
 Machine.TestCase.settings = settings(
