xDS: clients that are turned away are told to come back as early as they may

Cause: the time to come back was reckoned by half of the refill, though returns get all of it while nothing else waits. Change: reckoned by the whole refill; who comes too early is told a later time.

--- a/oatcart/xds/limits.py
+++ b/oatcart/xds/limits.py
@@ -79,9 +79,9 @@
         self.returning_debt = max(0.0, self.returning_debt - pushes)
 
     def prepay_wait(self, pushes: int) -> float:
-        """The time until so many pushes can be paid in advance if nobody else does so, s."""
+        """The least time until so many pushes can be paid in advance, s."""
         missing = self.returning_debt + pushes - self.returning_debt_max
-        return max(0.0, missing) / (self.pushes_per_second * RETURN_REFILL_SHARE)
+        return max(0.0, missing) / self.pushes_per_second
 
     def take(self, urgent: bool) -> bool:
         """Take one push, if there is one; an urgent push may put the budget in debt."""
@@ -125,7 +125,7 @@
         if self.budget.prepay(pushes):
             return
         earliest = now + self.budget.prepay_wait(pushes)
-        one_client = pushes / (self.budget.pushes_per_second * RETURN_REFILL_SHARE)
+        one_client = pushes / self.budget.pushes_per_second
         self.next_at = min(max(earliest, self.next_at + one_client), now + RETRY_AFTER_MAX)
         raise RequestRejectedError(
             "RESOURCE_EXHAUSTED",
