xDS: a name that is subscribed to once more counts as held until it is sent again

Callers saw: an incremental client that asks again for what it holds kept sending to an endpoint that drained meanwhile while the push budget was spent, or took a returned endpoint for the one it knew. Change: what was sent is kept as held until it is sent again.

--- a/oatcart/xds/subscription.py
+++ b/oatcart/xds/subscription.py
@@ -57,7 +57,7 @@
     acknowledged: dict[str, int] = field(default_factory=dict)  # by name: sequence number
     initial_versions: dict[str, str] = field(default_factory=dict)  # by name, of an earlier stream
     initial_push_version: str = ""  # of the last push accepted on an earlier stream; state of the world
-    held_before: dict[str, int] = field(default_factory=dict)  # by name: of an earlier stream, none sent yet
+    held_before: dict[str, int] = field(default_factory=dict)  # by name: held, and to be sent anew
     in_flight: deque[PushInFlight] = field(default_factory=lambda: deque(maxlen=IN_FLIGHT_MAX))
     rejected: dict[str, str] = field(default_factory=dict)  # by name: the version
     rejected_push: str = ""  # the version of a push that was rejected as one
@@ -119,7 +119,7 @@
             else:
                 self.subscribed[name] = None
                 for one in [at for at in self.sent if at == name or collection_of(at) == name]:
-                    self._forget(one)  # subscribed again, it is sent again
+                    self._send_again(one)
                 self.response_due = self.response_due or not first
             self.compare_all = True
         for name in unsubscribe:
@@ -143,6 +143,14 @@
             names.pop(name, None)
         self.sent_endpoints.forget(name)
 
+    def _send_again(self, name: str) -> None:
+        """The client subscribes once more to what it was sent, and holds that until it is sent it again."""
+        held, pickable = self._held(name), self.sent_endpoints.pickable.get(name, frozenset())
+        self._forget(name)
+        if self.carries_endpoints and (held > NOT_SENT or held == HOLDS_UNKNOWN):
+            self.held_before[name] = held
+            self.sent_endpoints.record(name, pickable)
+
     def _subscribes(self, name: str) -> bool:
         return self.wildcard or name in self.subscribed or collection_of(name) in self.subscribed
 
