--- a/oatcart/xds/__main__.py
+++ b/oatcart/xds/__main__.py
@@ -15,6 +15,7 @@
 
 from oatcart.errors import InvalidConfigurationError
 from oatcart.net.configuration import read_configuration
+from oatcart.xds.configuration import capacity_warning
 from oatcart.xds.configuration import read as read_xds
 from oatcart.xds.serve import UNUSABLE, run
 
@@ -37,6 +38,8 @@
         print(error, file=sys.stderr)
         return UNUSABLE
     if told.check:
+        if warning := capacity_warning(xds):
+            print(f"{told.file}: {warning}", file=sys.stderr)
         print(f"{told.file} can be used")
         return 0
     if not told.trace:
--- a/oatcart/xds/configuration.py
+++ b/oatcart/xds/configuration.py
@@ -6,9 +6,10 @@
 from ruamel.yaml.comments import CommentedMap
 
 from oatcart.errors import InvalidConfigurationError
+from oatcart.xds.limits import URGENT_DEBT
 from oatcart.yaml_files import address, boolean, duration, integer, load, name, table
 
-__all__ = ["Source", "InvalidConfigurationError", "Xds", "read"]
+__all__ = ["Source", "InvalidConfigurationError", "Xds", "capacity_warning", "read"]
 
 
 class Source(NamedTuple):
@@ -67,3 +68,18 @@
     if wrong:
         raise InvalidConfigurationError("\n".join(wrong))
     return Xds(**found)
+
+
+def capacity_warning(xds: Xds) -> str:
+    """What the front cannot keep as it is configured; empty if there is nothing.
+
+    >>> capacity_warning(Xds()), capacity_warning(Xds(clients=17, pushes=8.0))
+    ('', 'pushes: 8 a second reach 16 clients within the drain deadline of 2 s, and clients is 17')
+    """
+    reached = int(xds.pushes * URGENT_DEBT)
+    if xds.clients <= reached:
+        return ""
+    return (
+        f"pushes: {xds.pushes:g} a second reach {reached} clients within the drain deadline of "
+        f"{URGENT_DEBT:g} s, and clients is {xds.clients}"
+    )
--- a/oatcart/xds/serve.py
+++ b/oatcart/xds/serve.py
@@ -14,7 +14,7 @@
 from oatcart.net.loop import Loop
 from oatcart.settings import read_controller_settings
 from oatcart.xds.backoff import Backoff
-from oatcart.xds.configuration import Xds
+from oatcart.xds.configuration import Xds, capacity_warning
 from oatcart.xds.encode import Encoder
 from oatcart.xds.endpoint_list_merge import EndpointListMerge
 from oatcart.xds.follow import Follower
@@ -115,6 +115,8 @@
         self.port = await self.server.start(self.xds.listen)
         self.rounds.serve(self.front, self.server.soon)
         self.rounds.logger.write("start", f"xDS at port {self.port}")
+        if warning := capacity_warning(self.xds):
+            self.rounds.logger.write("config", warning)
         self.nested.start()
         if self.follower is not None:
             self.follower.start()
--- a/tests/xds/test_configuration.py
+++ b/tests/xds/test_configuration.py
@@ -2,11 +2,13 @@
 import.
 """
 
+import os
 import subprocess
 import sys
 from pathlib import Path
 
 import pytest
+from table import Table, nodes, played
 
 from oatcart.xds.configuration import InvalidConfigurationError, Source, Xds, read
 
@@ -81,3 +83,27 @@
         text=True,
     )
     assert found.stdout.strip() == "[]", found.stderr
+
+
+@pytest.mark.parametrize("pushes, said", [(8, "pushes: 8 a second reach 16 clients"), (500, "")])
+def test_the_check_says_what_the_pushes_cannot_serve(tmp_path, pushes, said):
+    # Guards against clients that are told of drains too late by a configuration that was accepted silently.
+    (tmp_path / "x.yaml").write_text(f"clients: 1000\npushes: {pushes}\n")
+    found = subprocess.run(
+        [sys.executable, "-m", "oatcart.xds", str(tmp_path / "x.yaml"), "--check"],
+        cwd=ROOT,
+        env=os.environ | {"EDGE_CONFIG": "examples/config.json"},
+        capture_output=True,
+        text=True,
+    )
+    assert found.returncode == 0 and "can be used" in found.stdout
+    assert said in found.stderr if said else not found.stderr
+
+
+def test_the_start_says_what_the_pushes_cannot_serve():
+    async def story():
+        async with Table(nodes(2), clients=100, pushes=8) as table:
+            wanted = "pushes: 8 a second reach 16 clients"
+            assert any(wanted in line for line in table.lines), table.lines
+
+    played(story())
