build: the environment is complete or not there, however many builds run

Cause: `build` took .venv/bin/python for a finished environment; pip comes seconds after it. Change: deploy/build_environment.py holds a lock, makes the environment beside .venv and renames it when each requirement is there; what a killed build left is removed, and replaced where it stands as .venv.

--- /dev/null
+++ b/deploy/build_environment.py
@@ -0,0 +1,128 @@
+"""Make `.venv` with what `requirements.txt` names, complete or not at all, however many builds run at once.
+
+    python3 deploy/build_environment.py
+
+A build holds a lock; others wait for it and find its result. The environment is made in a folder beside
+`.venv` and renamed once it is complete, so that a build that is killed leaves nothing that looks finished.
+Exit code 1 and one line on standard error where it cannot be made.
+"""
+
+import fcntl
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import venv
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+LOCK = ".venv.lock"
+UNFINISHED_PREFIX = ".venv-unfinished-"
+# Run by an environment's own interpreter: whether each requirement is installed to its last file
+CHECK = """
+import sys
+from importlib.metadata import PackageNotFoundError, distribution
+for requirement in sys.argv[1:]:
+    name, _, version = requirement.partition("==")
+    try:
+        found = distribution(name)
+    except PackageNotFoundError:
+        sys.exit(1)
+    if version and found.version != version or found.read_text("RECORD") is None:
+        sys.exit(1)
+"""
+
+
+class BuildError(Exception):
+    """The environment could not be made."""
+
+
+@contextmanager
+def exclusive(root: Path) -> Iterator[None]:
+    """Hold the build's lock. Installers inherit it, so it lasts until a killed build's have ended too."""
+    with open(root / LOCK, "a") as lock:
+        os.set_inheritable(lock.fileno(), True)
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
+
+
+def requirements(root: Path) -> list[str]:
+    """The lines of `requirements.txt`, as `NAME==VERSION`."""
+    lines = (root / "requirements.txt").read_text().splitlines()
+    return [line.strip() for line in lines if line.strip() and not line.startswith("#")]
+
+
+def is_complete(environment: Path, required: list[str]) -> bool:
+    """Whether an environment has all that is required."""
+    python = environment / "bin" / "python"
+    if not python.exists():
+        return False
+    return subprocess.run([python, "-c", CHECK, *required], capture_output=True).returncode == 0
+
+
+def install(environment: Path, root: Path) -> None:
+    """Install the requirements into an environment."""
+    command = [environment / "bin" / "python", "-m", "pip", "-q", "install", "-r", root / "requirements.txt"]
+    done = subprocess.run(command, close_fds=False, capture_output=True, text=True)
+    if done.returncode:
+        raise BuildError(f"pip ended with {done.returncode}: {done.stderr.strip()}")
+
+
+def rename_paths(environment: Path, final: Path) -> None:
+    """Let the scripts of an environment name the folder that it is to be renamed to."""
+    for script in [environment / "pyvenv.cfg", *(environment / "bin").iterdir()]:
+        if script.is_symlink() or not script.is_file():
+            continue
+        text = script.read_bytes()
+        script.write_bytes(text.replace(os.fsencode(environment), os.fsencode(final)))
+
+
+def make(root: Path, final: Path, required: list[str]) -> None:
+    """Make a new environment and put it in the place of what stands there."""
+    unfinished = Path(tempfile.mkdtemp(prefix=UNFINISHED_PREFIX, dir=root))
+    venv.create(unfinished, with_pip=True, symlinks=True)
+    install(unfinished, root)
+    if not is_complete(unfinished, required):
+        raise BuildError("pip ended with 0, and not all of requirements.txt is installed")
+    rename_paths(unfinished, final)
+    unfinished.chmod(0o755)
+    if final.exists():
+        final.rename(Path(tempfile.mkdtemp(prefix=UNFINISHED_PREFIX, dir=root)) / final.name)
+    unfinished.rename(final)
+
+
+def remove_unfinished(root: Path) -> None:
+    """Remove what killed builds left, and what was replaced."""
+    for left in root.glob(UNFINISHED_PREFIX + "*"):
+        shutil.rmtree(left, ignore_errors=True)
+
+
+def build(root: Path) -> None:
+    """Make `.venv` complete. An environment whose pip works is brought up to date in place."""
+    final, required = root / ".venv", requirements(root)
+    with exclusive(root):
+        remove_unfinished(root)
+        if is_complete(final, required):
+            return
+        with suppress(BuildError, OSError):  # without pip or interpreter it was left by a killed build
+            install(final, root)
+        if not is_complete(final, required):
+            make(root, final, required)
+        remove_unfinished(root)
+
+
+def main() -> int:
+    """Build, and answer the exit code."""
+    try:
+        build(ROOT)
+    except (BuildError, OSError, subprocess.CalledProcessError) as error:
+        print(f"build: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
