--- a/tests/net/test_signals.py
+++ b/tests/net/test_signals.py
@@ -5,6 +5,9 @@
 import signal
 import subprocess
 import sys
+import time
+import tomllib
+from pathlib import Path
 
 import pytest
 from controller_process import CONFIG, ROOT
@@ -77,3 +80,24 @@
             assert process.poll() is None
         process.send_signal(signal.SIGTERM)
         assert process.wait(10) == 0 and "reload" not in process.stderr.read()
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.005, 0.02])
+def test_sighup_before_the_first_line_of_the_program_does_not_end_it(tmp_path, delay):
+    # Guards against a reload signal that ends a process whose interpreter is still starting.
+    (tmp_path / "cfg").write_text(json.dumps(CONFIG))
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    with subprocess.Popen(
+        ["/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable)],
+        cwd=ROOT,
+        text=True,
+        stderr=subprocess.PIPE,
+        env=os.environ | {"EDGE_CONFIG": str(tmp_path / "cfg")},
+    ) as process:
+        while Path(f"/proc/{process.pid}/comm").read_text().strip() == "sh":
+            time.sleep(0.0005)
+        time.sleep(delay)
+        process.send_signal(signal.SIGHUP)
+        assert "start: n0 listens" in process.stderr.readline()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(10) == 0
