xDS: front.py split into records, types, publication of tables and dispatch of pushes

Measured: tests/xds with the wire's bytes, its doctests and tests/simhost pass unchanged but for imports.

--- a/benchmarks/xds.py
+++ b/benchmarks/xds.py
@@ -20,7 +20,7 @@
 
 from oatcart.events import UpdateAcknowledged
 from oatcart.xds.configuration import Xds
-from oatcart.xds.front import CLUSTER, ENDPOINTS, MEMBER
+from oatcart.xds.resource_types import CLUSTER, ENDPOINTS, MEMBER
 from oatcart.xds.serve import Conductor
 from oatcart.xds.standin.client import Client
 
--- a/oatcart/xds/decode.py
+++ b/oatcart/xds/decode.py
@@ -8,8 +8,8 @@
 from google.protobuf.message import DecodeError
 
 from oatcart.xds import client_load_reports, view
+from oatcart.xds.client_state import Ask, Node
 from oatcart.xds.encode import TYPES
-from oatcart.xds.front import Ask, Node
 from oatcart.xds.limits import RequestRejectedError
 
 KINDS = {url: kind for kind, url in TYPES.items()}
--- a/oatcart/xds/encode.py
+++ b/oatcart/xds/encode.py
@@ -22,8 +22,8 @@
 from google.protobuf.message import Message
 
 from oatcart.xds import view
-from oatcart.xds.front import CLUSTER, ENDPOINTS, LISTENER, MEMBER, ROUTE
 from oatcart.xds.push import Push
+from oatcart.xds.resource_types import CLUSTER, ENDPOINTS, LISTENER, MEMBER, ROUTE
 
 TYPES = {
     CLUSTER: "type.googleapis.com/envoy.config.cluster.v3.Cluster",
--- a/oatcart/xds/follow.py
+++ b/oatcart/xds/follow.py
@@ -16,7 +16,7 @@
 from oatcart.net.stream import Address
 from oatcart.xds.backoff import Backoff
 from oatcart.xds.encode import TYPES
-from oatcart.xds.front import ENDPOINTS
+from oatcart.xds.resource_types import ENDPOINTS
 from oatcart.xds.verified_endpoints import ReportedEndpoint, VerifiedEndpoints
 
 ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources"
--- a/oatcart/xds/front.py
+++ b/oatcart/xds/front.py
@@ -6,43 +6,32 @@
 applied once all that the mark stands for is acknowledged on all its streams.
 """
 
-from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Sequence
 from itertools import count
-from math import inf
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from oatcart.commands import NONCE_COUNT
 from oatcart.events import ProxyJoined, ProxyLeft, ProxyLoadReported, UpdateAcknowledged
-from oatcart.model import RequestClass, RetryPolicy
+from oatcart.model import RequestClass
 from oatcart.routing_tables import RoutingTables, UpdatePart
 from oatcart.xds import view
 from oatcart.xds.client_load_reports import ClusterLoadReport, LoadReportReader
+from oatcart.xds.client_state import Ask, Client, Node, Owed, Stream
 from oatcart.xds.limits import (
     ClientLimits,
     PushBudget,
-    PushPriority,
     RequestRejectedError,
     ReturnAdmission,
     check_names,
-    push_priority,
 )
 from oatcart.xds.push import Push, Rejection
+from oatcart.xds.push_dispatch import PushDispatch
 from oatcart.xds.push_metrics import PushMetrics
 from oatcart.xds.resource_cache import ResourceCache, digest
-from oatcart.xds.subscription import NOT_SENT, Subscription
-
-CLUSTER, ENDPOINTS, MEMBER, LISTENER, ROUTE = "cluster", "endpoints", "member", "listener", "route"
-ORDER = (CLUSTER, ENDPOINTS, MEMBER, LISTENER, ROUTE)  # makes go in this order, breaks against it
-WHOLE_TYPES = (CLUSTER, LISTENER)  # the state-of-the-world protocol has each push hold all of them
-CARRIES_ENDPOINTS = (ENDPOINTS, MEMBER)
-FIRST_PUSHES = (CLUSTER, ENDPOINTS, MEMBER)  # what a returning client needs until it misses no withdrawal
-BY_TABLE = (ENDPOINTS, MEMBER, ROUTE)  # depend on the client's tables
-MARKS_OWED = 8  # marks of one client that are not acknowledged; the module waits for none so long
-REJECTIONS_KEPT = 8  # of a client, for the operator
-SLICE = 2000  # resources that are sent in one go, some ms of work
-EMPTY_CACHE = ResourceCache()  # of a client that is not bound yet
+from oatcart.xds.resource_types import BY_TABLE, CARRIES_ENDPOINTS, FIRST_PUSHES, WHOLE_TYPES
+from oatcart.xds.subscription import Subscription
+from oatcart.xds.table_publication import TablePublication
 
 
 class Host(Protocol):
@@ -55,83 +44,6 @@
     def add_event(self, arrival: tuple) -> None: ...
 
 
-class Node(NamedTuple):
-    """Who a client says it is."""
-
-    id: str
-    zone: str
-    shape: str
-
-
-class Ask(NamedTuple):
-    """A discovery request of either protocol. `names`: all names, or those newly subscribed. `version`: of
-    the last state-of-the-world response of this type that the client accepted, on whichever stream."""
-
-    type: str
-    names: tuple[str, ...]
-    unsubscribe: tuple[str, ...] = ()
-    brought: Mapping[str, str] = {}
-    nonce: str = ""
-    refusal: str | None = None
-    node: Node | None = None
-    version: str = ""
-
-
-@dataclass(eq=False, slots=True)
-class Stream:
-    key: int
-    delta: bool
-    only: str | None  # the one type it is for; None: all of them on one stream
-    client: "Client | None" = None
-    subscriptions: dict[str, Subscription] = field(default_factory=dict)
-    room: bool = True  # the transport takes another push
-    primed: bool = False  # it was sent endpoints
-    returning: bool = False
-    admitted: bool = False  # its first pushes were paid in advance
-    prepaid: int = 0  # of them, those that are not sent yet
-    urgent_since: float | None = None  # s; since when the budget has kept back what may not wait
-
-
-@dataclass(eq=False, slots=True)
-class Owed:
-    """A mark that a client has yet to acknowledge: by stream and type, the seqs that are to be held."""
-
-    mark: int
-    at: float
-    needs: dict[tuple[Stream, str], dict[str, int]]
-
-
-@dataclass(eq=False, slots=True)
-class Client:
-    id: str
-    proxy: int
-    zone: int
-    shape: str
-    rates: list[float]  # reqs a second by kind, as its load reports have it
-    streams: list[Stream] = field(default_factory=list)  # oldest first
-    joined: bool = False
-    bound: bool = False
-    told: int | None = None  # a mark of this round
-    owed: deque = field(default_factory=lambda: deque(maxlen=MARKS_OWED))
-    rejections: deque = field(default_factory=lambda: deque(maxlen=REJECTIONS_KEPT))
-    acked_at: float | None = None
-
-
-class Turn(NamedTuple):
-    """A stream whose turn it may be. `urgent`: the types whose pushes may borrow from the budget."""
-
-    priority: PushPriority
-    waiting_since: float  # s; who waits longest goes first, else the newest streams would never have a turn
-    first_pushes: bool  # connected clients' withdrawals go before those of clients that return
-    stream: Stream
-    caches: dict[str, ResourceCache]
-    urgent: frozenset[str]
-
-    def order(self) -> tuple[int, float, bool, int]:
-        """The sort key: the lowest first."""
-        return self.priority, self.waiting_since, self.first_pushes, self.stream.key
-
-
 class Front:
     """`first`: the number of the first xDS client as a proxy. `life`: begins nonces, another in each life."""
 
@@ -151,42 +63,53 @@
         self.host, self.kinds, self.zones = host, list(kinds), {name: at for at, name in enumerate(zones)}
         self.zone_names, self.first, self.life = list(zones), first, life
         self.limits, self.budget, self.by_rate, self.home, self.say = limits, budget, by_rate, home, say
-        self.returns, self.push_metrics = ReturnAdmission(budget), PushMetrics()
+        self.returns = ReturnAdmission(budget)
+        self.tables = TablePublication(self.kinds, self.zone_names, by_rate)
+        self.pushes = PushDispatch(budget, self.cache_for, lambda kind, text: self.say(kind, text))
         self.clients: dict[str, Client] = {}
         self.by_proxy: dict[int, Client] = {}
         self.free: list[int] = []
         self.known: OrderedDict[str, None] = OrderedDict()  # ids of clients that have left, newest last
         self.keys = count(1)
-        self.caches: dict[tuple, ResourceCache] = {}
-        self.maps: dict[int, tuple[int, ...]] = {}  # by zone: the table of each kind
-        # by table: nodes that had a subscription at the last look, or are leaving
-        self.lined: dict[int, set[int]] = {}
-        self.shown: dict[int, tuple[view.Endpoint, ...]] = {}  # by table, as last published
-        self.drops: dict[tuple[int, int], int] = {}  # by zone and kind
-        self.dirty: dict[Stream, None] = {}
-        self.more = False  # work is left over from this slice
-        self.again_in: float | None = None  # s until the budget has a push for who waits; None: nobody does
-        for kind, _ in self.kinds:
-            self._cache(LISTENER).put(0.0, kind, view.Listener(kind))
-            for shape in view.WHOLE, view.EACH, view.SPREAD:
-                self._cache(CLUSTER, shape).put(0.0, kind, view.Cluster(kind, shape))
-
-    def _cache(self, *key: object) -> ResourceCache:
-        return self.caches.setdefault(key, ResourceCache())
+
+    @property
+    def caches(self) -> dict[tuple, ResourceCache]:
+        """The resource caches, by type, zone and shape as far as they differ by them."""
+        return self.tables.caches
+
+    @property
+    def maps(self) -> dict[int, tuple[int, ...]]:
+        """The table of each request kind, by zone."""
+        return self.tables.maps
+
+    @property
+    def shown(self) -> dict[int, tuple[view.Endpoint, ...]]:
+        """The endpoints of each table as last published."""
+        return self.tables.shown
+
+    @property
+    def dirty(self) -> dict[Stream, None]:
+        """The streams on which there may be something to send."""
+        return self.pushes.dirty
+
+    @property
+    def more(self) -> bool:
+        """Whether the last dispatch was one slice of a long work."""
+        return self.pushes.more
+
+    @property
+    def again_in(self) -> float | None:
+        """The time until the budget has a push for who waits, s; None if nobody does."""
+        return self.pushes.again_in
+
+    @property
+    def push_metrics(self) -> PushMetrics:
+        """What the push budget was spent on."""
+        return self.pushes.push_metrics
 
     def cache_for(self, client: Client, kind: str) -> ResourceCache:
         """What a client may see of a type."""
-        if kind == LISTENER:
-            return self._cache(LISTENER)
-        if kind == CLUSTER:
-            return self._cache(CLUSTER, client.shape)
-        if not client.bound:
-            return EMPTY_CACHE
-        return (
-            self._cache(kind, client.zone, client.shape)
-            if kind == ENDPOINTS
-            else self._cache(kind, client.zone)
-        )
+        return self.tables.cache_for(client, kind)
 
     # -- streams and what comes on them
 
@@ -232,7 +155,7 @@
         if ask.nonce and said is not False:
             stream.client.acked_at = now
             self._settle(now, stream.client)
-        self.dirty[stream] = None
+        self.pushes.add(stream)
         return ended
 
     def _admit(self, now: float, stream: Stream, ask: Ask) -> list[Stream]:
@@ -289,10 +212,6 @@
         self.returns.admit(now, pushes)
         stream.admitted, stream.prepaid = True, pushes
 
-    def _refund(self, stream: Stream) -> None:
-        self.budget.refund(stream.prepaid)
-        stream.prepaid = 0
-
     def _join(self, client: Client) -> None:
         if not client.joined:
             client.joined = True
@@ -302,7 +221,7 @@
     def close(self, now: float, stream: Stream) -> None:
         """A stream is over; with its last one a client has left."""
         self.dirty.pop(stream, None)
-        self._refund(stream)
+        self.pushes.refund(stream)
         client, stream.client = stream.client, None
         if client is None or stream not in client.streams:
             return
@@ -324,7 +243,7 @@
         """The transport has taken all that it was handed."""
         stream.room = True
         if stream.client is not None:
-            self.dirty[stream] = None
+            self.pushes.add(stream)
 
     def _log_rejection(self, now: float, client: Client, kind: str, rejection: Rejection) -> None:
         client.rejections.append((now, kind, rejection))
@@ -373,96 +292,16 @@
     ) -> None:
         """After a round: the tables as they stand become resources, marks are noted. `named`: a node's name,
         host and port, None where it has no address yet."""
-        newly = []
-        for client in self.clients.values():
-            if client.joined and not client.bound and client.proxy in tables.proxies:
-                at = self._bound(tables.proxies[client.proxy].assignments)
-                if at is not None:
-                    self.maps[client.zone], client.bound = at, True
-                    newly.append(client)
-        found = {
-            at: self._endpoints(at, tables, roster, named) for at in sorted(set(sum(self.maps.values(), ())))
-        }
-        news = False
-        for zone, tables_by_kind in self.maps.items():
-            news = self._put_zone(now, zone, tables_by_kind, tables, found) or news
-        self.shown = found
-        self.dirty |= dict.fromkeys(stream for client in newly for stream in client.streams)
-        if news:
-            self.dirty |= dict.fromkeys(
-                stream for client in self.clients.values() for stream in client.streams
-            )
+        clients = list(self.clients.values())
+        for client in self.tables.bind(clients, tables):
+            self.pushes.add(*client.streams)
+        if self.tables.publish(now, tables, roster, named, clients):
+            for client in clients:
+                self.pushes.add(*client.streams)
         for client in self.clients.values():
             if client.told is not None:
                 self._owe(now, client)
 
-    def _bound(self, bound: Mapping[int, int]) -> tuple[int, ...] | None:
-        """The table of each kind, once there is one for all."""
-        tables = tuple(
-            next((at for at, kinds in bound.items() if kinds >> kind & 1), -1)
-            for kind in range(len(self.kinds))
-        )
-        return tables if -1 not in tables else None
-
-    def _endpoints(
-        self, at: int, tables: RoutingTables, roster: view.Roster, named: Callable
-    ) -> tuple[view.Endpoint, ...]:
-        lines = tables.tables[at].weights
-        leaving = view.leaving(self.lined.get(at, ()), lines, roster)
-        self.lined[at] = leaving | lines.keys()
-        found = []
-        for place, (weight, health) in view.seen(lines, leaving, tables.ejected, roster).items():
-            if (known := named(place)) and place in roster.nodes:
-                found.append(view.Endpoint(*known, self.zone_names[roster.nodes[place].zone], weight, health))
-        return view.distinct(found)
-
-    def _put_zone(
-        self, now: float, zone: int, at: tuple[int, ...], tables: RoutingTables, found: dict
-    ) -> bool:
-        news = False
-        for kind, (name, req) in enumerate(self.kinds):
-            level, tries = tables.admission_of(at[kind], kind) or (
-                inf if self.by_rate else 1.0,
-                RetryPolicy.IF_NOT_PROCESSED,
-            )
-            drop = view.dropped(level, self.by_rate, self._rate(zone, kind))
-            before, self.drops[zone, kind] = self.drops.get((zone, kind), 0), drop
-            endpoints, first = found[at[kind]], self.kinds[at.index(at[kind])][0]
-            urgent = view.sinks(self.shown.get(at[kind], ()), endpoints) or drop > before
-            picks = view.picks(endpoints)
-            for shape in view.WHOLE, view.SPREAD:
-                body = view.Assignment(name, shape, drop, endpoints)
-                news |= self._cache(ENDPOINTS, zone, shape).put(now, name, body, picks, urgent)
-            begins = tuple(
-                (one, view.collection(self.zone_names[zone], first, one)) for one in self.zone_names
-            )
-            body = view.Assignment(name, view.EACH, drop, (), begins)
-            news |= self._cache(ENDPOINTS, zone, view.EACH).put(now, name, body, (), drop > before)
-            news |= self._cache(ROUTE, zone).put(now, name, view.route(name, req, tries))
-        return self._put_members(now, zone, at, found) or news
-
-    def _put_members(self, now: float, zone: int, at: tuple[int, ...], found: dict) -> bool:
-        cache, news, names = self._cache(MEMBER, zone), False, set()
-        cache.ready = True
-        for table in dict.fromkeys(at):
-            first, before = (
-                self.kinds[at.index(table)][0],
-                {one.name: one for one in self.shown.get(table, ())},
-            )
-            for one in found[table]:
-                name = view.collection(self.zone_names[zone], first, one.zone) + one.name
-                names.add(name)
-                healthy = {one.name} if one.health == view.HEALTHY else ()
-                urgent = one.name in before and view.sinks([before[one.name]], [one])
-                news |= cache.put(now, name, view.Member(one), healthy, urgent)
-        return cache.retain_only(now, names) or news
-
-    def _rate(self, zone: int, kind: int) -> float:
-        rates = [
-            client.rates[kind] for client in self.clients.values() if client.zone == zone and client.bound
-        ]
-        return sum(rates) / len(rates) if rates else 0.0
-
     # -- marks
 
     def _owe(self, now: float, client: Client) -> None:
@@ -504,106 +343,8 @@
     # -- what goes out
 
     def dispatch(self, now: float) -> list[tuple[Stream, list[tuple[str, Push]]]]:
-        """What to send now, by stream, those first for whom it cannot wait; each counts as sent, and its
-        stream has no room until `written`. `again_in` tells when to ask again as the budget left someone
-        waiting, `more` that this was one slice of a long work, so that what comes in meanwhile is not kept
-        waiting."""
-        self.budget.advance(now)
-        out, self.again_in, self.more = [], None, False
-        waiting = [
-            self._turn(now, stream) for stream in self.dirty if stream.room and stream.client is not None
-        ]
-        self.dirty, left, self.push_metrics.waiting_since = {}, SLICE, []
-        for turn in sorted(waiting, key=Turn.order):
-            if left <= 0:
-                self.more = True
-                self.dirty[turn.stream] = None
-                continue
-            pushes = self._pushes(turn)
-            left -= sum(len(push.items) for _, push in pushes)
-            if pushes:
-                turn.stream.room = False
-                out.append((turn.stream, pushes))
-            if turn.stream.prepaid and self._misses_nothing(turn.stream):
-                self._refund(turn.stream)
-        if self.push_metrics.waiting_since:
-            self.say("push", str(self.push_metrics.status(now, self.budget)))
-        return out
-
-    def _turn(self, now: float, stream: Stream) -> Turn:
-        caches = {kind: self.cache_for(stream.client, kind) for kind in stream.subscriptions}
-        urgent = {
-            kind
-            for kind, subscription in stream.subscriptions.items()
-            if subscription.may_be_urgent(caches[kind])
-        }
-        if not stream.primed and urgent & set(CARRIES_ENDPOINTS):
-            urgent.add(CLUSTER)  # its endpoints are sent after it
-        priority = push_priority(bool(urgent), stream.primed, stream.returning)
-        waiting_since = now if not urgent or stream.urgent_since is None else stream.urgent_since
-        return Turn(priority, waiting_since, not stream.primed, stream, caches, frozenset(urgent))
-
-    def _pushes(self, turn: Turn) -> list[tuple[str, Push]]:
-        """What a stream is sent now, of what the budget allows."""
-        pushes, stream = [], turn.stream
-        stream.urgent_since = None
-        for kind in ORDER:
-            subscription = stream.subscriptions.get(kind)
-            if subscription is None:
-                continue
-            prepaid = stream.prepaid > 0 and kind in FIRST_PUSHES
-            if not prepaid and not self.budget.take(kind in turn.urgent):
-                self._wait_for_budget(turn, kind in turn.urgent)
-                continue
-            push = subscription.next_push(
-                turn.caches[kind],
-                lambda name: self._may_add(stream, turn.caches, kind, name),
-                lambda name: self._may_remove(stream, turn.caches, kind, name),
-            )
-            if push is not None:
-                pushes.append((kind, push))
-                self.push_metrics.count(turn.priority, kind)
-                stream.prepaid -= prepaid
-                stream.primed = stream.primed or kind == ENDPOINTS
-            elif not prepaid:
-                self.budget.give_back()
-        return pushes
-
-    def _wait_for_budget(self, turn: Turn, urgent: bool) -> None:
-        wait = self.budget.wait(urgent)
-        self.again_in = wait if self.again_in is None else min(wait, self.again_in)
-        self.dirty[turn.stream] = None
-        if urgent:
-            turn.stream.urgent_since = turn.waiting_since
-            self.push_metrics.waiting_since.append(turn.waiting_since)
-
-    def _misses_nothing(self, stream: Stream) -> bool:
-        """Whether a returning client was sent all withdrawals that it may have missed."""
-        carriers = [stream.subscriptions.get(kind) for kind in CARRIES_ENDPOINTS]
-        expected = carriers if stream.client.shape == view.EACH else carriers[:1]
-        return stream.client.bound and not any(
-            subscription is None or subscription.may_miss_withdrawals() for subscription in expected
-        )
-
-    def _may_add(self, stream: Stream, caches: dict, kind: str, name: str) -> bool:
-        """A client that asks for a cluster gets what builds on it once it has taken the cluster. One that
-        holds resources of an earlier stream sends requests by them, so it gets what replaces them right after
-        the cluster."""
-        clusters = stream.subscriptions.get(CLUSTER)
-        if kind in (CLUSTER, MEMBER) or clusters is None or not clusters.is_wanted(name):
-            return True
-        if name not in caches[CLUSTER].resources or name in clusters.acknowledged:
-            return True
-        return stream.subscriptions[kind].returning and clusters.sent.get(name, NOT_SENT) > NOT_SENT
-
-    def _may_remove(self, stream: Stream, caches: dict, kind: str, name: str) -> bool:
-        """What builds on a cluster goes before it, as far as the incremental protocol can tell that."""
-        later = ORDER[ORDER.index(kind) + 1 :] if kind in (CLUSTER, ENDPOINTS) else ()
-        return not any(
-            subscription.delta and name in subscription.acknowledged and name not in caches[one].resources
-            for one in later
-            if (subscription := stream.subscriptions.get(one)) is not None
-        )
+        """What to send now, by stream; see `PushDispatch`."""
+        return self.pushes.dispatch(now)
 
     # -- for operators
 
--- a/oatcart/xds/server.py
+++ b/oatcart/xds/server.py
@@ -13,9 +13,11 @@
 
 from oatcart.xds import decode
 from oatcart.xds.client_load_reports import LoadReportReader
+from oatcart.xds.client_state import Ask, Stream
 from oatcart.xds.encode import Encoder
-from oatcart.xds.front import CLUSTER, ENDPOINTS, LISTENER, MEMBER, ROUTE, Ask, Front, Stream
+from oatcart.xds.front import Front
 from oatcart.xds.limits import RequestRejectedError
+from oatcart.xds.resource_types import CLUSTER, ENDPOINTS, LISTENER, MEMBER, ROUTE
 
 REQUEST_MOST = 1024 * 1024  # bytes of a request: what a client may bring of versions, as long as names may be
 FIRST_WITHIN = 5.0  # s from a stream's start until it has said what it wants
--- a/oatcart/xds/standin/__main__.py
+++ b/oatcart/xds/standin/__main__.py
@@ -7,7 +7,7 @@
 import sys
 import time
 
-from oatcart.xds.front import CLUSTER, ENDPOINTS, MEMBER, ROUTE
+from oatcart.xds.resource_types import CLUSTER, ENDPOINTS, MEMBER, ROUTE
 from oatcart.xds.standin.client import Client
 from oatcart.xds.view import EACH, SPREAD, WHOLE
 
--- a/oatcart/xds/standin/client.py
+++ b/oatcart/xds/standin/client.py
@@ -9,7 +9,7 @@
 from envoy.service.discovery.v3 import discovery_pb2
 
 from oatcart.xds.encode import TYPES
-from oatcart.xds.front import CLUSTER, ENDPOINTS, LISTENER, MEMBER, ROUTE
+from oatcart.xds.resource_types import CLUSTER, ENDPOINTS, LISTENER, MEMBER, ROUTE
 
 KINDS = {url: kind for kind, url in TYPES.items()}
 ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/"
--- a/oatcart/xds/standin/management.py
+++ b/oatcart/xds/standin/management.py
@@ -8,7 +8,7 @@
 from envoy.service.discovery.v3 import discovery_pb2
 
 from oatcart.xds.encode import TYPES
-from oatcart.xds.front import ENDPOINTS
+from oatcart.xds.resource_types import ENDPOINTS
 
 SERVICE = "envoy.service.discovery.v3.AggregatedDiscoveryService"
 
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,112 @@
+"""The endpoints of a run: what discovery lists of them and when, and their health over HTTP."""
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+from soak.plan import ENDPOINTS, MIN_READY_PER_ZONE
+
+ZONES = ["east", "west"]
+READY, DRAINING, GONE = "SERVING", "DRAINING", "DELETED"
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """An endpoint. `changed_at`: monotonic s of the last change of its state or start."""
+
+    number: int
+    port: int = 0
+    state: str = READY
+    started_ms: float = 0.0
+    revision: int = 1
+    changed_at: float = 0.0
+    is_healthy: bool = True
+
+    @property
+    def name(self) -> str:
+        """Its id in the list."""
+        return f"s-{self.number}"
+
+    @property
+    def zone(self) -> int:
+        """Its zone's number."""
+        return self.number % len(ZONES)
+
+    def entry(self) -> dict:
+        """As discovery and the configuration write it."""
+        return {
+            "id": self.name,
+            "host_port": f"127.0.0.1:{self.port}",
+            "locality": ZONES[self.zone],
+            "phase": self.state,
+            "size": 1.0,
+            "up_since_ms": self.started_ms,
+        }
+
+
+@dataclass(slots=True)
+class Fleet:
+    """All endpoints and the revision of their list."""
+
+    endpoints: list[Endpoint] = field(default_factory=lambda: [Endpoint(at) for at in range(ENDPOINTS)])
+    revision: int = 1
+    changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+    servers: list[asyncio.Server] = field(default_factory=list)
+
+    async def start(self) -> None:
+        """Serve the health of each endpoint."""
+        for endpoint in self.endpoints:
+
+            async def serve(reader, writer, endpoint=endpoint):
+                await answer_health(endpoint, reader, writer)
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            endpoint.port = server.sockets[0].getsockname()[1]
+            self.servers.append(server)
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        for server in self.servers:
+            server.close()
+
+    def may_leave(self, endpoint: Endpoint) -> bool:
+        """Whether enough others of its zone that have run for long stay ready."""
+        others = [
+            one
+            for one in self.endpoints
+            if one is not endpoint and one.zone == endpoint.zone and one.state == READY and not one.started_ms
+        ]
+        return len(others) >= MIN_READY_PER_ZONE
+
+    async def change(self, endpoint: Endpoint, state: str, started: bool = False) -> None:
+        """Change an endpoint's state, or its start, and tell who watches."""
+        async with self.changed:
+            self.revision += 1
+            endpoint.state, endpoint.revision, endpoint.changed_at = state, self.revision, time.monotonic()
+            if started:
+                endpoint.started_ms = time.time() * 1000
+            self.changed.notify_all()
+
+    def complete_list(self) -> dict:
+        """The list as discovery answers it."""
+        members = [one.entry() for one in self.endpoints if one.state != GONE]
+        return {"revision": self.revision, "complete": True, "members": members}
+
+    def changes(self, since: int) -> dict:
+        """What changed since a revision."""
+        members = [one.entry() for one in self.endpoints if one.revision > since]
+        return {"revision": self.revision, "complete": False, "members": members}
+
+
+async def answer_health(endpoint: Endpoint, reader, writer) -> None:
+    """Answer health checks on one connection."""
+    try:
+        while await reader.readuntil(b"\r\n\r\n"):
+            body = b'{"inflight":2,"queue":0,"util":0.4}' if endpoint.is_healthy else b""
+            status = b"200 OK" if endpoint.is_healthy else b"503 Service Unavailable"
+            writer.write(b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
+            await writer.drain()
+    except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+        pass
+    finally:
+        writer.close()
--- a/tests/xds/sim.py
+++ b/tests/xds/sim.py
@@ -27,9 +27,11 @@
 from oatcart.policy import Controller
 from oatcart.routing_tables import RoutingTables
 from oatcart.xds import view
-from oatcart.xds.front import CLUSTER, ENDPOINTS, MEMBER, ROUTE, Ask, Front, Node, new_life
+from oatcart.xds.client_state import Ask, Node
+from oatcart.xds.front import Front, new_life
 from oatcart.xds.limits import ClientLimits, PushBudget, RequestRejectedError
 from oatcart.xds.resource_cache import WITHDRAWAL_RETENTION
+from oatcart.xds.resource_types import CLUSTER, ENDPOINTS, MEMBER, ROUTE
 
 KINDS = [
     ("lookup", RequestClass(1.0, 0.5, Idempotency.IDEMPOTENT)),
--- a/tests/xds/test_decisions.py
+++ b/tests/xds/test_decisions.py
@@ -9,10 +9,10 @@
 from oatcart.model import EndpointState, RetryPolicy
 from oatcart.xds import view
 from oatcart.xds.client_load_reports import ClusterLoadReport, LoadReportReader, RequestCounts
-from oatcart.xds.front import CLUSTER, ENDPOINTS, ROUTE
 from oatcart.xds.limits import RequestRejectedError
 from oatcart.xds.push import Rejection
 from oatcart.xds.resource_cache import ResourceCache
+from oatcart.xds.resource_types import CLUSTER, ENDPOINTS, ROUTE
 from oatcart.xds.subscription import TOLD_ABSENT, Subscription
 
 SHAPES = [(False, view.WHOLE), (True, view.WHOLE), (True, view.EACH), (False, view.SPREAD)]
--- a/tests/xds/test_front.py
+++ b/tests/xds/test_front.py
@@ -3,7 +3,7 @@
 import pytest
 from table import Table, nodes, played
 
-from oatcart.xds.front import CLUSTER, ENDPOINTS, LISTENER, MEMBER, ROUTE
+from oatcart.xds.resource_types import CLUSTER, ENDPOINTS, LISTENER, MEMBER, ROUTE
 
 WAYS = [(False, "whole"), (False, "spread"), (True, "whole"), (True, "spread"), (True, "each")]
 
--- a/tests/xds/test_herds.py
+++ b/tests/xds/test_herds.py
@@ -6,8 +6,8 @@
 
 from oatcart.model import EndpointState
 from oatcart.xds import view
-from oatcart.xds.front import ENDPOINTS, ROUTE
 from oatcart.xds.limits import RETURN_DEBT, RETURN_REFILL_SHARE, URGENT_DEBT
+from oatcart.xds.resource_types import ENDPOINTS, ROUTE
 
 PUSHES = 8.0  # a second
 PUSHES_OF_A_RETURN_MAX = 4  # clusters, endpoints, endpoints as resources of their own, routes
--- a/tests/xds/test_resubscription.py
+++ b/tests/xds/test_resubscription.py
@@ -6,7 +6,7 @@
 
 from oatcart.model import EndpointState
 from oatcart.xds import view
-from oatcart.xds.front import ENDPOINTS, MEMBER
+from oatcart.xds.resource_types import ENDPOINTS, MEMBER
 
 INCREMENTAL = [shape for delta, shape in SHAPES if delta]
 
--- a/tests/xds/test_wire_bytes.py
+++ b/tests/xds/test_wire_bytes.py
@@ -8,9 +8,9 @@
 
 from oatcart.xds import view
 from oatcart.xds.encode import Encoder
-from oatcart.xds.front import CLUSTER, ENDPOINTS, LISTENER, MEMBER, ROUTE
 from oatcart.xds.push import Push
 from oatcart.xds.resource_cache import ResourceContent, digest
+from oatcart.xds.resource_types import CLUSTER, ENDPOINTS, LISTENER, MEMBER, ROUTE
 
 ENDPOINT_A = view.Endpoint("n0", "127.0.0.1", 9000, "a", 40, view.HEALTHY)
 ENDPOINT_B = view.Endpoint("n1", "127.0.0.1", 9001, "b", 1, view.DRAINING)
