--- a/tests/xds/test_machine.py
+++ b/tests/xds/test_machine.py
@@ -51,6 +51,7 @@
         peer = self.peer(at)
         if peer.stream is None:
             peer.come()
+            assert peer.stream is not None or self.slow, "turned away with pushes to spare"
 
     @rule(at=PEERS)
     def lose(self, at):
