--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 
 from world import SLACK_S, Proxy, World, main
 
-SERVERS, PROXIES, CONTROLLERS, RATE = 30, 16, 2, 10.0
+SERVERS, PROXIES, CONTROLLERS, RATE = 30, 16, 2, 5.0
 QUIET_S = 22.0  # ordinary traffic before the release
 REPLACED = 18  # of 30: six in ten
 QUICK, QUICK_GAP_S, GAP_S = 9, 0.12, 0.65  # the first 9 follow each other quickly; all within 7 s
@@ -37,8 +37,12 @@
             self.violations.append(text)
             self.record.write("late", text)
 
+    lost = 0  # requests that a server had taken in and did not answer
+
     def ended(self, proxy: Proxy, request: str, name: str, server: str, outcome: str) -> None:
-        """Record how a request ended."""
+        """Record how a request to a server that is not SERVING ended; count what was lost there."""
+        if outcome in ("reset", "timeout"):
+            self.lost += 1
         if self.servers[server].phase != "SERVING":
             self.record.write("request", f"{request} ({name}) by proxy {proxy.number} at {server}: {outcome}")
 
@@ -57,6 +61,9 @@
     world.record.write(
         "messages", f"most in 10 s at one proxy: {max(one.most_messages for one in world.proxies)}"
     )
+    world.record.write(
+        "lost", f"{world.lost} requests were taken in by a server that ended before it answered"
+    )
     if world.crashed():
         world.violations.append(f"crashed: {world.crashed()}")
 
