Review cases: the list changes at most every 200 ms, as at the site

Case 1 has less load, so that no weight update is in the window by chance; case 2 begins its steps sooner.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,10 +9,10 @@
 from release import Release
 from world import World, main
 
-SERVERS, PROXIES, CONTROLLERS, RATE = 30, 16, 2, 5.0  # RATE: requests a second at each proxy
+SERVERS, PROXIES, CONTROLLERS, RATE = 30, 16, 2, 2.0  # RATE: requests a second at each proxy
 QUIET_S = 22.0  # ordinary traffic before the release
 REPLACED = 18  # of 30: six in ten
-QUICK, QUICK_GAP_S, GAP_S = 9, 0.12, 0.65  # the first 9 follow each other quickly; all within 7 s
+QUICK, QUICK_GAP_S, GAP_S = 9, 0.21, 0.53  # the first 9 follow each other quickly; all within 7 s
 
 
 async def play(world: Release, trouble: bool) -> None:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,9 +13,9 @@
 SERVERS, PROXIES, CONTROLLERS, RATE = 30, 16, 2, 19.0  # RATE: requests a second at each proxy
 QUIET_S = 14.0  # ordinary traffic before the first restart
 BETWEEN_S = 5.0  # between the restarts
-STEPS_AFTER_S = 2.2  # from the last restart until the servers are replaced
+STEPS_AFTER_S = 1.5  # from the last restart until the servers are replaced
 REPLACED = 15  # of 30: half
-QUICK, QUICK_GAP_S, GAP_S = 7, 0.12, 0.55  # the first step is of 7 servers, the others of one
+QUICK, QUICK_GAP_S, GAP_S = 8, 0.21, 0.53  # the first 8 follow each other more quickly
 
 
 async def restart(world: Release, controller: Controller) -> None:
--- a/review/standin/release.py
+++ b/review/standin/release.py
@@ -5,7 +5,8 @@
 
 from world import SLACK_S, Proxy, World
 
-ENDS_AFTER_S = 4.0  # from the DRAINING entry until the process ends: longer than grace and slack
+ENDS_AFTER_S = 4.0  # from the listing as DRAINING until the process ends: longer than grace and slack
+NOTICED_AFTER_S = 3.0  # from its end until the list shows it: the site file's [discovery] notice_s
 
 
 class Release(World):
@@ -51,6 +52,7 @@
         await self.discovery.change((new, "SERVING"), (old, "DRAINING"))
         await asyncio.sleep(ENDS_AFTER_S)
         old.stop()
+        await asyncio.sleep(NOTICED_AFTER_S)
         await self.discovery.change((old, "DELETED"))
 
     def conclude(self) -> None:
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -23,6 +23,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 LOOPBACK = "127.0.0.1"
+PERIOD_S = 0.2  # between revisions of the list, at least: the site file's [discovery] period_ms
 SLACK_S = 0.3  # the protocol page adds it to the time limits of the rules
 ZONES = ["ikeja", "yaba", "apapa", "lekki"]
 
@@ -213,6 +214,8 @@
 
     def __init__(self, world: "World") -> None:
         self.world, self.revision = world, 1
+        self.pending: list[tuple[Server, str]] = []
+        self.changed_at = 0.0
         self.changed = asyncio.Condition()
         self.members: dict[str, Server] = {}
         self.gone: dict[str, dict] = {}  # entries of removed servers, with the revision of their removal
@@ -225,18 +228,27 @@
         return listener.sockets[0].getsockname()[1]
 
     async def change(self, *changes: tuple[Server, str]) -> None:
-        """List servers with a new phase, all in one revision."""
-        async with self.changed:
-            self.revision += 1
-            for server, phase in changes:
-                server.phase, server.changed_at = phase, self.revision
-                if phase == "DELETED":
-                    self.members.pop(server.name, None)
-                    self.gone[server.name] = {"entry": server.entry(), "revision": self.revision}
-                else:
-                    self.members[server.name] = server
-                self.world.record.write("listed", f"revision {self.revision}: {server.name} {phase}")
-            self.changed.notify_all()
+        """List servers with a new phase, in one revision, at least PERIOD_S after the last revision."""
+        self.pending += changes
+        if len(self.pending) == len(changes):  # else a task waits already, and takes these along
+            await asyncio.sleep(max(0.0, self.changed_at + PERIOD_S - time.monotonic()))
+            async with self.changed:
+                self.publish()
+                self.changed.notify_all()
+
+    def publish(self) -> None:
+        """Make a revision of all pending changes."""
+        self.changed_at = time.monotonic()
+        self.revision += 1
+        for server, phase in self.pending:
+            server.phase, server.changed_at = phase, self.revision
+            if phase == "DELETED":
+                self.members.pop(server.name, None)
+                self.gone[server.name] = {"entry": server.entry(), "revision": self.revision}
+            else:
+                self.members[server.name] = server
+            self.world.record.write("listed", f"revision {self.revision}: {server.name} {phase}")
+        self.pending = []
 
     def full_list(self) -> dict:
         """Return the complete list."""
@@ -574,10 +586,12 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now, below the ports that outgoing connections get."""
+    while True:
+        port = random.SystemRandom().randrange(15000, 30000)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind((LOOPBACK, port))
+            return port
 
 
 class World:
@@ -598,7 +612,7 @@
         self.controllers = [Controller(self, number) for number in range(controllers)]
         self.proxies = [Proxy(self, number, ZONES[number % len(ZONES)], rate) for number in range(proxies)]
         self.server_count, self.tasks = servers, set()
-        self.shown_proxies = {0}
+        self.shown_proxies = {0, 1}  # whose updates are recorded
         self.totals = dict.fromkeys(
             ("served", "not served", "refused by level", "refused, no server to pick"), 0
         )
