While a drain waits for all proxies, other updates leave each a message for it

Cause: an ejection, or a removal from a subset, goes to all proxies of a table or fleet at once. While it waited for one of them, the others could be sent updates that can wait, as the cap counted drain intervals from now, as if no drain waited yet.

Change: Draining tells the cap since when the oldest drain waits, and the intervals that other updates have to leave room for begin there.

--- a/oatcart/policy/controller.py
+++ b/oatcart/policy/controller.py
@@ -131,10 +131,7 @@
             self._next_rescore_at = this_round.now + RESCORE_INTERVAL_S - CLOCK_ERROR_S
             self._run_rescore_steps(this_round)
         self.routing.assign_endpoints()
-        if self.routing.has_subsets:
-            for table in self.routing.used_tables():
-                self.draining.remove_entries(table, this_round)
-        self.draining.eject_unavailable(this_round)
+        self.draining.remove_unavailable(this_round)
         self.assignment.assign_joined(this_round)
         all_assigned = self.directory.all_assigned()
         unblocked = not self.routing.has_subsets or all_assigned
--- a/oatcart/policy/draining.py
+++ b/oatcart/policy/draining.py
@@ -3,7 +3,7 @@
 A drain has a deadline, so ejections reserve lines of the update channel before everything else.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from math import inf
 
 from oatcart.model import EndpointState
@@ -35,6 +35,18 @@
         self._channel = channel
         self._overdue_after = min(OVERDUE_S, channel.message_cap.drain_wait)  # s
 
+    def remove_unavailable(self, this_round: Round) -> None:
+        """Removes unavailable endpoints from the subsets, or ejects them if tables are complete.
+
+        Comes before other updates in a check, so that these leave messages for the drains that have to wait.
+        """
+        self._channel.message_cap.drain_waiting_since = inf
+        if not self._tables.has_subsets:
+            self.eject_unavailable(this_round)
+            return
+        for table in self._tables.used_tables():
+            self.remove_entries(table, this_round)
+
     def remove_entries(self, table: RoutingTable, this_round: Round) -> None:
         """Removes unavailable endpoints from a subset; this costs lines for its own proxies only."""
         endpoints = self._registry.endpoints
@@ -47,11 +59,10 @@
         for number in due[:fitting]:
             this_round.commands.set_weight(table.number, number, 0)
             del table.weights[number]
+        self._note_waiting(endpoints[number] for number in due[fitting:])
 
     def eject_unavailable(self, this_round: Round) -> None:
-        """Ejects unavailable endpoints at all proxies; with subsets, `remove_entries` is used instead."""
-        if self._tables.has_subsets:
-            return
+        """Ejects unavailable endpoints at all proxies."""
         due = {
             number: endpoint
             for number, endpoint in self._registry.endpoints.items()
@@ -60,6 +71,7 @@
         for number in self._reserve(due, URGENT_SHARE, this_round.now):
             due[number].ejection_sent_at = this_round.now
             this_round.commands.set_ejected(number, True)
+        self._note_waiting(endpoint for endpoint in due.values() if not endpoint.ejection_sent)
 
     def restore_available(self, this_round: Round) -> None:
         """Restores available endpoints at all proxies, once no table has a higher weight than it should.
@@ -124,9 +136,18 @@
 
         `share`: the share of the channel's caps that may be filled, unless a drain is overdue.
         """
-        drains = [one.state_changed_at for one in endpoints if one.state != EndpointState.READY]
-        waited = now - min(drains, default=now)
+        waited = now - min(drain_times(endpoints), default=now)
         if waited >= self._overdue_after:
             share = OVERDUE_SHARE
         minimum = min(len(endpoints), MIN_REMOVALS)
         return self._channel.reserve(proxies, len(endpoints), share, minimum, waited=waited)
+
+    def _note_waiting(self, endpoints: Iterable[Endpoint]) -> None:
+        """Lets the message cap know of the drains among the endpoints that could not be removed now."""
+        cap = self._channel.message_cap
+        cap.drain_waiting_since = min([cap.drain_waiting_since, *drain_times(endpoints)])
+
+
+def drain_times(endpoints: Iterable[Endpoint]) -> list[float]:
+    """Returns when the drains among some endpoints were received; outliers do not drain."""
+    return [one.state_changed_at for one in endpoints if one.state != EndpointState.READY]
--- a/oatcart/policy/message_cap.py
+++ b/oatcart/policy/message_cap.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from math import inf
 
 from oatcart.model import ChannelLimits
 
@@ -30,6 +31,7 @@
         # a low cap allows no more than its messages spread evenly over the window
         self._drain_interval = max(self.drain_wait, self._window / max(1, self._usable))
         self._max_drain_wait = min(self._drain_interval, MAX_DRAIN_WAIT_SHARE * drain_deadline)
+        self.drain_waiting_since = inf  # when the oldest drain was received that waits to be sent; draining
 
     def allows(self, sent_at: deque[float], share: float, now: float, waited: float = 0.0) -> bool:
         """Whether a proxy may be sent one more message.
@@ -49,12 +51,14 @@
     def _later_drains_fit(self, sent_at: deque[float], now: float) -> bool:
         """Whether, after a message now, the cap allows one more at the end of every drain interval.
 
-        Intervals that end later than the window need no check, as by then all these messages have left it.
+        The first interval began when a drain that waits was received, if there is one. Intervals that end
+        later than the window need no check, as by then all these messages have left it.
         """
+        first_end = max(now, min(now, self.drain_waiting_since) + self._drain_interval)
         sent = len(sent_at) + 1
-        interval = max(1, self._usable - sent + 1)  # the first one before whose end messages must have left
-        while (end := now + interval * self._drain_interval) < now + self._window - CLOCK_ERROR_S:
-            must_have_left = sent + interval - self._usable
+        interval = max(0, self._usable - sent)  # the first one before whose end messages must have left
+        while (end := first_end + interval * self._drain_interval) < now + self._window - CLOCK_ERROR_S:
+            must_have_left = sent + interval + 1 - self._usable
             if must_have_left > len(sent_at) or sent_at[must_have_left - 1] > end - self._window:
                 return False
             interval += 1
--- a/tests/policy/test_policy_message_cap.py
+++ b/tests/policy/test_policy_message_cap.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from dataclasses import replace
+from math import inf
 from random import Random
 
 import pytest
@@ -10,8 +11,16 @@
 
 from oatcart.model import ChannelLimits
 from oatcart.policy.controller import CHECK_INTERVAL_S
-from oatcart.policy.flow_control import OVERDUE_SHARE
-from oatcart.policy.message_cap import MessageCap
+from oatcart.policy.flow_control import (
+    ASSIGNMENT_SHARE,
+    NEW_ENTRIES_SHARE,
+    OVERDUE_SHARE,
+    URGENT_SHARE,
+    WEIGHTS_SHARE,
+    UpdateChannel,
+)
+from oatcart.policy.message_cap import DRAIN_WAIT_SHARE, MessageCap
+from oatcart.policy.state import Proxy
 
 ENDPOINTS = 30
 PROXIES = 16
@@ -73,6 +82,69 @@
     assert no_deadline.allows(sent_at, OVERDUE_SHARE, 0.1)
 
 
+def longest_wait_beside_other_updates(max_messages, drain_deadline, seed):
+    """Returns the longest wait (s) of drains that go to all of a few proxies at once.
+
+    The next drain is received a random time after the last one was sent. In between, single proxies are sent
+    updates that can wait, whenever the channel allows them.
+    """
+    random = Random(seed)
+    limits = ChannelLimits(1e6, 0, 0, max_messages, WINDOW_S)
+    channel = UpdateChannel(limits, drain_deadline)
+    cap = channel.message_cap
+    proxies = {number: Proxy(0, False, 0.0, [1.0]) for number in range(3)}
+    joined_at = [random.uniform(0.0, 3.0) for _ in proxies]
+    update_probability = random.uniform(0.05, 0.6)
+    received_at, longest = 3.0, 0.0
+    for check in range(int(60.0 / CHECK_INTERVAL_S)):
+        now = check * CHECK_INTERVAL_S
+        channel.begin_round(now)
+        joined = {number: proxy for number, proxy in proxies.items() if joined_at[number] <= now}
+        cap.drain_waiting_since = inf
+        if received_at <= now:
+            waited = now - received_at
+            share = OVERDUE_SHARE if waited >= cap.drain_wait else URGENT_SHARE
+            if channel.reserve(joined, 1, share, waited=waited):
+                longest = max(longest, waited)
+                received_at = now + random.choice([0.01, 0.2, 0.5, 3.0, 6.0])
+            else:
+                cap.drain_waiting_since = received_at
+        for number, proxy in joined.items():
+            if random.random() < update_probability:
+                share = random.choice([WEIGHTS_SHARE, ASSIGNMENT_SHARE, NEW_ENTRIES_SHARE])
+                channel.reserve({number: proxy}, 1, share)
+    return longest
+
+
+@pytest.mark.parametrize("max_messages, drain_deadline", [(10, 3.0), *CAPS])
+def test_updates_to_single_proxies_delay_no_drain_that_waits_for_all_of_them(max_messages, drain_deadline):
+    # Failure: while a drain waited for one proxy, another was sent its table; then the drain waited for that.
+    longest = max(
+        longest_wait_beside_other_updates(max_messages, drain_deadline, seed) for seed in range(200)
+    )
+    interval = max(DRAIN_WAIT_SHARE * drain_deadline, WINDOW_S / (max_messages - 1))
+    assert longest <= interval + CHECK_INTERVAL_S
+
+
+@pytest.mark.parametrize("line_rate", [LINE_RATE, 2 * PROXIES * ENDPOINTS / 3.0], ids=["complete", "subsets"])
+def test_the_oldest_drain_that_waits_is_known_to_the_message_cap(line_rate):
+    fleet = FleetModel(settings(12, 3.0, line_rate), ENDPOINTS, seed=1)
+    for proxy in range(PROXIES):
+        fleet.join(proxy)
+    fleet.run(QUIET_S)
+    assert fleet.controller.routing.has_subsets == (line_rate < LINE_RATE)
+    cap = fleet.controller.channel.message_cap
+    waits = 0
+    for number in range(9):
+        fleet.replace(number, ENDPOINTS + number)
+        fleet.run(0.2)
+        used = set().union(*(proxy.used() for proxy in fleet.proxies.values()))
+        waiting = [fleet.drained_at[endpoint] for endpoint in used & fleet.drained_at.keys()]
+        assert cap.drain_waiting_since == min(waiting, default=inf)
+        waits += bool(waiting)
+    assert waits > 3
+
+
 @pytest.mark.parametrize("load_varies", [False, True], ids=["steady", "varying"])
 @pytest.mark.parametrize("max_messages, drain_deadline", CAPS)
 def test_the_first_drains_of_a_release_leave_messages_for_the_last_ones(
