A drain that waits at some proxies keeps no other proxy from its first table

With subsets a drain goes to the proxies of one table only, and with a low cap (8 messages in 10 s) a message now and one for the drain did not fit, so a proxy that had just moved here got no table while any drain waited anywhere.

Change: Draining notes at each proxy since when the oldest drain waits to be sent to it. Without subsets a drain goes to all joined proxies, and a joining one gets its table in the same message.

--- a/oatcart/policy/draining.py
+++ b/oatcart/policy/draining.py
@@ -34,13 +34,16 @@
         self._tables = tables
         self._channel = channel
         self._overdue_after = min(OVERDUE_S, channel.message_cap.drain_wait)  # s
+        self._delayed: list[Proxy] = []  # to which a drain could not be sent in the last check
 
     def remove_unavailable(self, this_round: Round) -> None:
         """Removes unavailable endpoints from the subsets, or ejects them if tables are complete.
 
         Comes before other updates in a check, so that these leave messages for the drains that have to wait.
         """
-        self._channel.message_cap.drain_waiting_since = inf
+        for proxy in self._delayed:
+            proxy.drain_waiting_since = inf
+        self._delayed = []
         if not self._tables.has_subsets:
             self.eject_unavailable(this_round)
             return
@@ -59,7 +62,7 @@
         for number in due[:fitting]:
             this_round.commands.set_weight(table.number, number, 0)
             del table.weights[number]
-        self._note_waiting(endpoints[number] for number in due[fitting:])
+        self._note_delayed(table.proxies, [endpoints[number] for number in due[fitting:]])
 
     def eject_unavailable(self, this_round: Round) -> None:
         """Ejects unavailable endpoints at all proxies."""
@@ -71,7 +74,9 @@
         for number in self._reserve(due, URGENT_SHARE, this_round.now):
             due[number].ejection_sent_at = this_round.now
             this_round.commands.set_ejected(number, True)
-        self._note_waiting(endpoint for endpoint in due.values() if not endpoint.ejection_sent)
+        self._note_delayed(
+            self._proxies, [endpoint for endpoint in due.values() if not endpoint.ejection_sent]
+        )
 
     def restore_available(self, this_round: Round) -> None:
         """Restores available endpoints at all proxies, once no table has a higher weight than it should.
@@ -142,10 +147,14 @@
         minimum = min(len(endpoints), MIN_REMOVALS)
         return self._channel.reserve(proxies, len(endpoints), share, minimum, waited=waited)
 
-    def _note_waiting(self, endpoints: Iterable[Endpoint]) -> None:
-        """Lets the message cap know of the drains among the endpoints that could not be removed now."""
-        cap = self._channel.message_cap
-        cap.drain_waiting_since = min([cap.drain_waiting_since, *drain_times(endpoints)])
+    def _note_delayed(self, proxies: Mapping[int, Proxy], endpoints: Iterable[Endpoint]) -> None:
+        """Notes at the proxies that drains among these endpoints wait to be sent to them."""
+        times = drain_times(endpoints)
+        if not times:
+            return
+        for proxy in proxies.values():
+            proxy.drain_waiting_since = min(proxy.drain_waiting_since, *times)
+        self._delayed += proxies.values()
 
 
 def drain_times(endpoints: Iterable[Endpoint]) -> list[float]:
--- a/oatcart/policy/flow_control.py
+++ b/oatcart/policy/flow_control.py
@@ -127,7 +127,8 @@
             if not proxy.message_times or proxy.message_times[-1] < self._now
         ]
         if not all(
-            self.message_cap.allows(proxy.message_times, share, self._now, waited) for proxy in new_recipients
+            self.message_cap.allows(proxy.message_times, share, self._now, waited, proxy.drain_waiting_since)
+            for proxy in new_recipients
         ):
             return 0
         overhead = len(new_recipients) * (self.limits.message_overhead + 1)
--- a/oatcart/policy/message_cap.py
+++ b/oatcart/policy/message_cap.py
@@ -31,14 +31,21 @@
         # a low cap allows no more than its messages spread evenly over the window
         self._drain_interval = max(self.drain_wait, self._window / max(1, self._usable))
         self._max_drain_wait = min(self._drain_interval, MAX_DRAIN_WAIT_SHARE * drain_deadline)
-        self.drain_waiting_since = inf  # when the oldest drain was received that waits to be sent; draining
 
-    def allows(self, sent_at: deque[float], share: float, now: float, waited: float = 0.0) -> bool:
+    def allows(
+        self,
+        sent_at: deque[float],
+        share: float,
+        now: float,
+        waited: float = 0.0,
+        drain_waiting_since: float = inf,
+    ) -> bool:
         """Whether a proxy may be sent one more message.
 
         `sent_at`: the times of its messages; those that have left the window are removed. `share`: the share
         of the cap that may be filled. `waited`: s for which the oldest drain in the message has waited; after
-        the maximum it may use the messages that are kept for later drains.
+        the maximum it may use the messages that are kept for later drains. `drain_waiting_since`: when the
+        oldest drain was received that is not in the message and waits to be sent to this proxy too.
         """
         if not self._max_messages:
             return True
@@ -46,20 +53,21 @@
             sent_at.popleft()
         if len(sent_at) + 1 >= self._max_messages * share:
             return False
-        return waited >= self._max_drain_wait or self._later_drains_fit(sent_at, now)
+        if waited >= self._max_drain_wait:
+            return True
+        next_drain_at = max(now, min(now, drain_waiting_since) + self._drain_interval)
+        return self._later_drains_fit(sent_at, now, next_drain_at)
 
-    def _later_drains_fit(self, sent_at: deque[float], now: float) -> bool:
-        """Whether, after a message now, the cap allows one more at the end of every drain interval.
+    def _later_drains_fit(self, sent_at: deque[float], now: float, next_drain_at: float) -> bool:
+        """Whether, after a message now, the cap allows the next drain's, and one more in every interval.
 
-        The first interval began when a drain that waits was received, if there is one. Intervals that end
-        later than the window need no check, as by then all these messages have left it.
+        Those after the window need no check, as by then all earlier messages have left it.
         """
-        first_end = max(now, min(now, self.drain_waiting_since) + self._drain_interval)
         sent = len(sent_at) + 1
-        interval = max(0, self._usable - sent)  # the first one before whose end messages must have left
-        while (end := first_end + interval * self._drain_interval) < now + self._window - CLOCK_ERROR_S:
-            must_have_left = sent + interval + 1 - self._usable
-            if must_have_left > len(sent_at) or sent_at[must_have_left - 1] > end - self._window:
+        drain = max(0, self._usable - sent)  # the first one before which messages must have left the window
+        while (at := next_drain_at + drain * self._drain_interval) < now + self._window - CLOCK_ERROR_S:
+            must_have_left = sent + drain + 1 - self._usable
+            if must_have_left > len(sent_at) or sent_at[must_have_left - 1] > at - self._window:
                 return False
-            interval += 1
+            drain += 1
         return True
--- a/oatcart/policy/state.py
+++ b/oatcart/policy/state.py
@@ -74,6 +74,7 @@
     joined_at: float
     rates: list[float]  # requests/s, by request class
     message_times: deque[float] = field(default_factory=deque)  # within the cap's window; flow_control
+    drain_waiting_since: float = inf  # when the oldest drain not sent to it was received; draining
     assigned: bool = False  # it has all its tables; assignment
     tables: list["RoutingTable"] = field(default_factory=list)
 
--- a/tests/policy/fleet_model.py
+++ b/tests/policy/fleet_model.py
@@ -120,6 +120,16 @@
         self.commands.add_proxy(number, True)
         self._events.append(ProxyJoined(number, number % ZONES, 10.0, True))
 
+    def join_configured(self, number: int) -> None:
+        """A proxy opens a stream that has tables of another controller, with drained endpoints too."""
+        tables = {
+            request_class: dict.fromkeys(self.ready | self.drained_at.keys(), 1.0)
+            for request_class in range(len(self.settings.request_classes))
+        }
+        self.proxies[number] = ModelProxy(self.now, tables)
+        self.commands.add_proxy(number, False)
+        self._events.append(ProxyJoined(number, number % ZONES, 10.0, False))
+
     def join_at(self, joins: list[tuple[float, int]]) -> None:
         """Lets proxies join later on; `joins`: s from now and number of each, the earliest first."""
         self._joins.extend((self.now + delay, number) for delay, number in joins)
--- a/tests/policy/test_policy_message_cap.py
+++ b/tests/policy/test_policy_message_cap.py
@@ -27,6 +27,7 @@
 WINDOW_S = 10.0
 QUIET_S = 22.0  # longer than the window
 LINE_RATE = 3400.0
+CHANNEL_S = 0.4  # that a message is on its way, which the model leaves out
 CAPS = [(12, 3.0), (20, 2.0), (10, 6.0)]  # messages in the window, drain deadline in s
 
 
@@ -100,15 +101,16 @@
         now = check * CHECK_INTERVAL_S
         channel.begin_round(now)
         joined = {number: proxy for number, proxy in proxies.items() if joined_at[number] <= now}
-        cap.drain_waiting_since = inf
+        for proxy in joined.values():
+            proxy.drain_waiting_since = received_at if received_at <= now else inf
         if received_at <= now:
             waited = now - received_at
             share = OVERDUE_SHARE if waited >= cap.drain_wait else URGENT_SHARE
             if channel.reserve(joined, 1, share, waited=waited):
                 longest = max(longest, waited)
                 received_at = now + random.choice([0.01, 0.2, 0.5, 3.0, 6.0])
-            else:
-                cap.drain_waiting_since = received_at
+                for proxy in joined.values():
+                    proxy.drain_waiting_since = inf
         for number, proxy in joined.items():
             if random.random() < update_probability:
                 share = random.choice([WEIGHTS_SHARE, ASSIGNMENT_SHARE, NEW_ENTRIES_SHARE])
@@ -127,22 +129,22 @@
 
 
 @pytest.mark.parametrize("line_rate", [LINE_RATE, 2 * PROXIES * ENDPOINTS / 3.0], ids=["complete", "subsets"])
-def test_the_oldest_drain_that_waits_is_known_to_the_message_cap(line_rate):
+def test_proxies_note_since_when_the_oldest_drain_waits_for_them(line_rate):
     fleet = FleetModel(settings(12, 3.0, line_rate), ENDPOINTS, seed=1)
     for proxy in range(PROXIES):
         fleet.join(proxy)
     fleet.run(QUIET_S)
     assert fleet.controller.routing.has_subsets == (line_rate < LINE_RATE)
-    cap = fleet.controller.channel.message_cap
+    proxies = fleet.controller.directory.proxies
     waits = 0
     for number in range(9):
         fleet.replace(number, ENDPOINTS + number)
         fleet.run(0.2)
-        used = set().union(*(proxy.used() for proxy in fleet.proxies.values()))
-        waiting = [fleet.drained_at[endpoint] for endpoint in used & fleet.drained_at.keys()]
-        assert cap.drain_waiting_since == min(waiting, default=inf)
-        waits += bool(waiting)
-    assert waits > 3
+        for proxy, model in fleet.proxies.items():
+            waiting = [fleet.drained_at[endpoint] for endpoint in model.used() & fleet.drained_at.keys()]
+            assert proxies[proxy].drain_waiting_since == min(waiting, default=inf)
+            waits += bool(waiting)
+    assert waits > PROXIES
 
 
 @pytest.mark.parametrize("load_varies", [False, True], ids=["steady", "varying"])
@@ -214,3 +216,29 @@
     fleet.run(WINDOW_S)
     assert fleet.longest_use <= longest_allowed_use(drain_deadline)
     assert fleet.most_messages < max_messages
+
+
+@pytest.mark.parametrize("seed", [*range(8), 67, 74])
+@pytest.mark.parametrize("subsets", [False, True], ids=["complete", "subsets"])
+def test_proxies_that_move_here_during_a_release_stop_using_drained_endpoints_in_time(subsets, seed):
+    # Failure: with a low cap, a drain that waited at some proxies kept joining ones from their first table.
+    random = Random(seed)
+    max_messages, drain_deadline = random.choice([(8, 2.0), (10, 3.0)])
+    line_rate = PROXIES * (ENDPOINTS + 20) / drain_deadline if subsets else LINE_RATE
+    fleet = FleetModel(settings(max_messages, drain_deadline, line_rate), ENDPOINTS, seed)
+    for proxy in range(PROXIES):
+        fleet.join(proxy)
+    fleet.run(QUIET_S)
+    assert fleet.controller.routing.has_subsets == subsets
+    for number, endpoint in enumerate(random.sample(range(ENDPOINTS), 18)):
+        fleet.replace(endpoint, ENDPOINTS + number)
+        fleet.run(random.choice([0.2, 0.2, 0.25, 0.5, 0.6]))
+        if random.random() < 0.4:
+            proxy = random.randrange(PROXIES)
+            if proxy in fleet.proxies:
+                fleet.leave(proxy)
+            else:
+                fleet.join_configured(proxy)
+    fleet.run(WINDOW_S)
+    assert fleet.longest_use <= drain_deadline - CHANNEL_S
+    assert fleet.most_messages < max_messages
