Scale runs end on an interrupt that comes while a process is started

Callers saw a scale run go on for minutes after Ctrl-C or SIGTERM, now and then; the known-red test saw it once beside load.

Cause: the handler raises Interrupted, and Python ignores what is raised within the hooks it runs in the parent after a fork. The signal sent the moment a new process shows, beside eight busy processes: 5 of 5 runs of the former text went on, with "Exception ignored in: <function _releaseLock ...>" and "Interrupted: signal 2" on standard error. The record of the signal was looked at only between two sizes.

Change: interrupts.py keeps the record of the run that is on; each start of a process and each sleep of a run raises what was recorded. Interrupted moves there from children.py.

--- a/oatcart/scale/agreement.py
+++ b/oatcart/scale/agreement.py
@@ -19,6 +19,7 @@
 
 from oatcart.scale.discovery import ClientFigures
 from oatcart.scale.hollow import ControllerTables
+from oatcart.scale.interrupts import sleep
 from oatcart.scale.peers import PeerTraffic
 from oatcart.scale.trial import Reading, Trial, make_changes, running
 from oatcart.scale.trial_settings import TrialSettings
@@ -80,9 +81,9 @@
     with running(settings) as trial:
         trial.start()
         trial.join_peers(keep_tables=True)
-        time.sleep(settings.settle_s)
+        sleep(settings.settle_s)
         before = trial.read()
-        time.sleep(settings.measure_s)
+        sleep(settings.measure_s)
         after = trial.read()
         make_changes([trial], settings.changes, settings.changes_per_s)
         trial.wait_for_changes()
@@ -100,7 +101,7 @@
         trial.peers.fail(endpoints)
         until = time.monotonic() + EJECTED_WITHIN_S
         while not all(map(ejected_endpoints, trial.peers.tables())) and time.monotonic() < until:
-            time.sleep(POLL_INTERVAL_S)
+            sleep(POLL_INTERVAL_S)
 
 
 def core_ratio(before: Reading, after: Reading) -> float:
@@ -153,7 +154,7 @@
         figures = list(compare_commands(trial))
         if all(figure.agrees for figure in figures) or time.monotonic() > until:
             return figures
-        time.sleep(POLL_INTERVAL_S)
+        sleep(POLL_INTERVAL_S)
 
 
 def compare_commands(trial: Trial) -> Iterator[ComparedFigure]:
--- a/oatcart/scale/children.py
+++ b/oatcart/scale/children.py
@@ -22,6 +22,7 @@
 import orjson
 
 from oatcart.errors import OatcartError
+from oatcart.scale.interrupts import Interrupted, check_interrupted
 
 ANSWER_TIMEOUT_S = 60.0  # for one command; the slowest one sets up thousands of endpoints
 TERMINATE_TIMEOUT_S = 3.0  # between SIGTERM and SIGKILL
@@ -37,13 +38,6 @@
     """Raised when a child process ended early, answered with an error or did not answer in time."""
 
 
-class Interrupted(BaseException):
-    """Raised when SIGTERM arrives during a run.
-
-    Like KeyboardInterrupt it is not an Exception, so that only clean-up code handles it.
-    """
-
-
 def core_seconds(pid: int) -> float:
     """Returns the processor seconds that a process has used; raises OSError when it has ended.
 
@@ -98,6 +92,11 @@
             start_new_session=True,
             env={**os.environ, **(environment or {})},
         )
+        try:
+            check_interrupted()
+        except Interrupted:
+            self.end()
+            raise
 
     @property
     def pid(self) -> int:
--- a/oatcart/scale/day.py
+++ b/oatcart/scale/day.py
@@ -26,7 +26,7 @@
 from oatcart.scale.figures import fell_behind
 from oatcart.scale.fleet import FleetPlan
 from oatcart.scale.hollow import ControllerTables
-from oatcart.scale.interrupts import recorded_interrupts
+from oatcart.scale.interrupts import recorded_interrupts, sleep
 from oatcart.scale.trial import POLL_INTERVAL_S, Reading, running
 from oatcart.scale.trial_settings import TrialSettings
 
@@ -191,7 +191,7 @@
         tables = [name for name in trial.names if table_endpoints(held[name]) <= views[name]]
         if (known, tables) == (trial.hollow_names, trial.names) or time.monotonic() > until:
             break
-        time.sleep(POLL_INTERVAL_S)
+        sleep(POLL_INTERVAL_S)
     received = trial.relay.views().views
     return EndState(
         conductors=len(trial.names),
--- a/oatcart/scale/figures.py
+++ b/oatcart/scale/figures.py
@@ -12,6 +12,7 @@
 
 from oatcart.scale.discovery import ClientFigures
 from oatcart.scale.hollow import HollowReading
+from oatcart.scale.interrupts import sleep
 from oatcart.scale.measurement import Measurement
 from oatcart.scale.peers import TICK_S
 from oatcart.scale.real import NotReadyError
@@ -78,7 +79,7 @@
     with running(settings, trial_class) as trial:
         trial.start()
         trial.join_peers()
-        time.sleep(settings.settle_s)
+        sleep(settings.settle_s)
         (observed,) = observe([trial], settings)
         return measure_roles(trial, observed, dimension, size)
 
@@ -109,7 +110,7 @@
                 found += left_out_measurements(one, dimension, size, str(error))
         first = specifications[0].settings
         if started:
-            time.sleep(first.settle_s)
+            sleep(first.settle_s)
         try:
             observations = observe([trial for _, trial in started], first)
         except SizeLimitError as error:
@@ -146,11 +147,11 @@
         return []
     before = [trial.read() for trial in trials]
     if not settings.measure_under_changes:
-        time.sleep(settings.measure_s)
+        sleep(settings.measure_s)
         after = [trial.read() for trial in trials]
     make_changes(trials, settings.changes, settings.changes_per_s)
     if settings.measure_under_changes:
-        time.sleep(max(0.0, before[0].at + settings.measure_s - time.monotonic()))
+        sleep(max(0.0, before[0].at + settings.measure_s - time.monotonic()))
         after = [trial.read() for trial in trials]
     return [Observation(*one) for one in zip(before, after, strict=True)]
 
--- a/oatcart/scale/real.py
+++ b/oatcart/scale/real.py
@@ -19,6 +19,7 @@
 from oatcart.errors import OatcartError
 from oatcart.scale.children import ChildProcess
 from oatcart.scale.discovery import LOOPBACK
+from oatcart.scale.interrupts import sleep
 
 CONTROLLER_COMMAND = sys.executable, "-m", "oatcart"  # what `run` of deploy/balancer.toml executes
 CONFIG_VARIABLE = "EDGE_CONFIG"
@@ -65,7 +66,7 @@
                 raise NotReadyError(
                     f"controller not ready: exit code {self.process.poll()}: {self.error_text()}"
                 )
-            time.sleep(POLL_INTERVAL_S)
+            sleep(POLL_INTERVAL_S)
         self.port = int(listening[1])
         self._ping()
         self.ready_after_s = time.monotonic() - self.started_at
--- a/oatcart/scale/trial.py
+++ b/oatcart/scale/trial.py
@@ -41,6 +41,7 @@
 from oatcart.scale.endpoint_entries import EndpointChanges, endpoints_of_lists, list_entry
 from oatcart.scale.fleet import FleetPlan, PlannedEndpoint, plan_fleet
 from oatcart.scale.hollow import HollowControllers, HollowReading
+from oatcart.scale.interrupts import sleep
 from oatcart.scale.peer_sockets import PeerSockets
 from oatcart.scale.peers import PeerSettings
 from oatcart.scale.real import NotReadyError, RealController, real_controllers
@@ -219,7 +220,7 @@
                 return delays
             if time.monotonic() > until:
                 raise NotReadyError(f"{missing} changes not delivered after {LAST_CHANGE_TIMEOUT_S:.0f} s")
-            time.sleep(POLL_INTERVAL_S)
+            sleep(POLL_INTERVAL_S)
 
     def change_delays(self) -> tuple[dict[str, list[float]], int]:
         """Returns the delays (s) of the changes at each controller, and the count of missing ones in all.
@@ -263,7 +264,7 @@
                 raise NotReadyError(
                     f"{len(self.names) - len(self.ready)} controllers have no list: {self.errors()}"
                 )
-            time.sleep(POLL_INTERVAL_S)
+            sleep(POLL_INTERVAL_S)
             self._record_ready(self.acknowledged_revisions())
             self._check_memory()
         hollow = self.hollow_controllers.figures().controllers if self.hollow_controllers else []
@@ -297,7 +298,7 @@
     changes = [EndpointChanges(trial.changed_endpoints(), trial.settings.seed) for trial in trials]
     first = time.monotonic()
     for number in range(count):
-        time.sleep(max(0.0, first + number / per_s - time.monotonic()))
+        sleep(max(0.0, first + number / per_s - time.monotonic()))
         for trial, of_trial in zip(trials, changes, strict=True):
             trial.make_change(of_trial.next_entry(time.time()))
 
--- a/oatcart/scale/view_trial.py
+++ b/oatcart/scale/view_trial.py
@@ -26,6 +26,7 @@
 )
 from oatcart.scale.endpoint_entries import list_entry
 from oatcart.scale.fleet import FleetPlan, PlannedController, PlannedEndpoint
+from oatcart.scale.interrupts import sleep
 from oatcart.scale.peers import PeerSettings
 from oatcart.scale.ports import free_ports
 from oatcart.scale.real import CONTROLLER_COMMAND, NotReadyError
@@ -165,7 +166,7 @@
         while self._endpoints_at_control(main_port) < len(self.plan.endpoints):
             if not self.control.running or time.monotonic() > until:
                 raise NotReadyError(f"the control role did not get the list: {self.control.error_text()}")
-            time.sleep(POLL_INTERVAL_S)
+            sleep(POLL_INTERVAL_S)
 
     def _wait_ready(self) -> None:
         """Waits until every controller has its view; then the control role is ready too."""
--- a/tests/scale/test_scale_day.py
+++ b/tests/scale/test_scale_day.py
@@ -14,7 +14,6 @@
 import pytest
 
 from oatcart.scale.__main__ import main
-from oatcart.scale.children import Interrupted
 from oatcart.scale.configuration import DaySettings, FleetSettings, Settings, ViewSettings
 from oatcart.scale.day import DayResult, DayScale, is_known, play_day, table_endpoints
 from oatcart.scale.day_deliveries import Disconnection, History, delivery_stats, drain_stats
@@ -36,7 +35,7 @@
 )
 from oatcart.scale.fleet import plan_fleet
 from oatcart.scale.hollow import ControllerTables
-from oatcart.scale.interrupts import recorded_interrupts
+from oatcart.scale.interrupts import Interrupted, recorded_interrupts
 from oatcart.views.records import Controller
 
 ENDPOINTS = 60
--- a/tests/scale/test_scale_runs.py
+++ b/tests/scale/test_scale_runs.py
@@ -13,7 +13,6 @@
 import pytest
 
 from oatcart.scale import runs, trial, trial_settings
-from oatcart.scale.children import Interrupted
 from oatcart.scale.configuration import FleetSettings, LimitSettings, RunSettings, Settings
 from oatcart.scale.figures import (
     DelaySummary,
@@ -25,7 +24,7 @@
     summarize_delays,
 )
 from oatcart.scale.hollow import HollowReading
-from oatcart.scale.interrupts import recorded_interrupts
+from oatcart.scale.interrupts import Interrupted, recorded_interrupts
 from oatcart.scale.measurement import Measurement
 from oatcart.scale.runs import measure, sizes_of
 from oatcart.scale.trial import make_changes, running
@@ -172,6 +171,36 @@
     assert not any(map(alive, children))
 
 
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+@pytest.mark.parametrize("start", [1, 3, 5])
+def test_an_interrupt_in_a_hook_after_a_fork_ends_the_run(number: signal.Signals, start: int) -> None:
+    # Failure: a signal that came while a process was started was ignored until the run's end, minutes later.
+    program = (
+        "import itertools, os\n"
+        "from oatcart.scale.configuration import RunSettings, Settings\n"
+        "from oatcart.scale.runs import measure\n"
+        "starts = itertools.count(1)\n"
+        "def interrupt_once():\n"
+        f"    if next(starts) == {start}:\n"
+        f"        os.kill(os.getpid(), {int(number)})\n"
+        "os.register_at_fork(after_in_parent=interrupt_once)\n"
+        "run = RunSettings(settle_for=60.0, measure_for=60.0, sizes={'conductors': (3,)})\n"
+        "measure(Settings(full=run, quick=run), True, None, print)\n"
+    )
+    with subprocess.Popen(
+        [sys.executable, "-c", program], stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True
+    ) as run:
+        children: set[int] = set()
+        until = time.monotonic() + ENDED_WITHIN_S
+        while run.poll() is None and time.monotonic() < until:
+            children.update(children_of(run.pid))
+            time.sleep(0.01)
+        ended = run.poll()
+        run.kill()
+        assert ended not in (None, 0) and "Interrupted" in run.stderr.read()
+    assert not any(map(alive, children))
+
+
 def test_an_interrupt_hidden_by_an_error_of_a_size_ends_the_run(monkeypatch: pytest.MonkeyPatch) -> None:
     """A run that received SIGTERM during its last size once ended with exit code 0."""
 
