Late drains are logged with the limit that holds them back

Cause: the log said nothing of drains that wait.

The simulated fleet of the tests knows the wire's record for log lines now.

--- a/oatcart/policy/draining.py
+++ b/oatcart/policy/draining.py
@@ -9,12 +9,14 @@
 from oatcart.model import EndpointState
 from oatcart.policy.flow_control import ASSIGNMENT_SHARE, OVERDUE_SHARE, URGENT_SHARE, UpdateChannel
 from oatcart.policy.registry import EndpointRegistry
-from oatcart.policy.state import Endpoint, Proxy, Round, RoutingTable
+from oatcart.policy.state import LONG_AGO, Endpoint, Proxy, Round, RoutingTable
 from oatcart.policy.subsetting import TableRegistry
 
 MIN_REMOVALS = 4  # lines that are worth a message if not all removals fit
 # Wait after which a drain is overdue and may fill the cap; until then several drains may share a message
 OVERDUE_S = 1.0
+LATE_SHARE = 0.5  # of the drain deadline; drains that have waited for longer are logged
+LOG_INTERVAL_S = 5.0  # between two lines on late drains
 FORGET_AFTER_S = 30.0  # minimum time since an endpoint was gone; longer than any proxy takes to reconnect
 
 
@@ -34,21 +36,24 @@
         self._tables = tables
         self._channel = channel
         self._overdue_after = min(OVERDUE_S, channel.message_cap.drain_wait)  # s
-        self._delayed: list[Proxy] = []  # to which a drain could not be sent in the last check
+        self._late_after = LATE_SHARE * channel.message_cap.drain_deadline  # s
+        self._delayed: dict[int, Proxy] = {}  # to which a drain could not be sent in the last check
+        self._next_log_at = LONG_AGO
 
     def remove_unavailable(self, this_round: Round) -> None:
         """Removes unavailable endpoints from the subsets, or ejects them if tables are complete.
 
         Comes before other updates in a check, so that these leave messages for the drains that have to wait.
         """
-        for proxy in self._delayed:
+        for proxy in self._delayed.values():
             proxy.drain_waiting_since = inf
-        self._delayed = []
-        if not self._tables.has_subsets:
+        self._delayed = {}
+        if self._tables.has_subsets:
+            for table in self._tables.used_tables():
+                self.remove_entries(table, this_round)
+        else:
             self.eject_unavailable(this_round)
-            return
-        for table in self._tables.used_tables():
-            self.remove_entries(table, this_round)
+        self._log_late_drains(this_round)
 
     def remove_entries(self, table: RoutingTable, this_round: Round) -> None:
         """Removes unavailable endpoints from a subset; this costs lines for its own proxies only."""
@@ -154,7 +159,20 @@
             return
         for proxy in proxies.values():
             proxy.drain_waiting_since = min(proxy.drain_waiting_since, *times)
-        self._delayed += proxies.values()
+        self._delayed |= proxies
+
+    def _log_late_drains(self, this_round: Round) -> None:
+        """Logs for how long the oldest drain has waited, if that is long, and which limit holds it back."""
+        now = this_round.now
+        waited = now - min((proxy.drain_waiting_since for proxy in self._delayed.values()), default=now)
+        if waited < self._late_after or now < self._next_log_at:
+            return
+        self._next_log_at = now + LOG_INTERVAL_S
+        at_cap = self._channel.proxies_at_message_cap(self._delayed.values(), waited)
+        this_round.commands.log(
+            f"drains wait for up to {waited:.1f} s to be sent to {len(self._delayed)} proxies, "
+            f"{at_cap} of them at the message cap; {self._channel.queued:.0f} lines are queued"
+        )
 
 
 def drain_times(endpoints: Iterable[Endpoint]) -> list[float]:
--- a/oatcart/policy/flow_control.py
+++ b/oatcart/policy/flow_control.py
@@ -10,7 +10,7 @@
 the lines that the channel sends within ACK_WAIT_S.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from itertools import accumulate
 from math import inf
@@ -147,6 +147,11 @@
             proxy.message_times.append(self._now)
         return lines
 
+    def proxies_at_message_cap(self, proxies: Iterable[Proxy], waited: float) -> int:
+        """Returns how many of some proxies may not be sent a drain now that has `waited` (s)."""
+        allows = self.message_cap.allows
+        return sum(not allows(proxy.message_times, OVERDUE_SHARE, self._now, waited) for proxy in proxies)
+
     def _queue_available(self, share: float) -> float:
         """Returns the lines that fit in the queue, even if no unacknowledged line has left it.
 
--- a/oatcart/policy/message_cap.py
+++ b/oatcart/policy/message_cap.py
@@ -27,6 +27,7 @@
         self._max_messages = limits.max_messages
         self._window = limits.message_window
         self._usable = limits.max_messages - 1
+        self.drain_deadline = drain_deadline  # s
         self.drain_wait = DRAIN_WAIT_SHARE * drain_deadline  # s
         # a low cap allows no more than its messages spread evenly over the window
         self._drain_interval = max(self.drain_wait, self._window / max(1, self._usable))
--- a/tests/policy/fleet_model.py
+++ b/tests/policy/fleet_model.py
@@ -29,7 +29,11 @@
 
 
 class Commands(RoutingTables):
-    """Keeps the routing tables; the commands that concern no proxy have no effect."""
+    """Keeps the routing tables and the log lines; other commands that concern no proxy have no effect."""
+
+    def __init__(self, class_count: int) -> None:
+        super().__init__(class_count)
+        self.lines: list[str] = []
 
     def check_health(self, endpoint: int) -> None:
         """Health checks are not modelled."""
@@ -44,7 +48,8 @@
         """Rounds run in every step."""
 
     def log(self, text: str) -> None:
-        """Log lines are not checked."""
+        """Keeps the line."""
+        self.lines.append(text)
 
 
 @dataclass
--- a/tests/policy/test_policy_message_cap.py
+++ b/tests/policy/test_policy_message_cap.py
@@ -1,5 +1,6 @@
 """Messages are kept for drains that come later, and every drain of a release is sent in time."""
 
+import re
 from collections import deque
 from dataclasses import replace
 from math import inf
@@ -164,6 +165,7 @@
     fleet.run(WINDOW_S)
     assert fleet.longest_use <= longest_allowed_use(drain_deadline)
     assert fleet.most_messages < max_messages
+    assert not fleet.commands.lines
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -242,3 +244,35 @@
     fleet.run(WINDOW_S)
     assert fleet.longest_use <= drain_deadline - CHANNEL_S
     assert fleet.most_messages < max_messages
+
+
+@pytest.mark.parametrize(
+    "max_messages, line_rate, expected",
+    [
+        (
+            4,
+            LINE_RATE,
+            r"drains wait for up to \d\.\d s to be sent to 16 proxies, 16 of them at the message cap; 0 .*",
+        ),
+        (
+            0,
+            40.0,
+            r"drains wait for up to \d\.\d s to be sent to \d+ proxies, 0 of them .*; [1-9]\d* lines .*",
+        ),
+    ],
+    ids=["message cap", "queue"],
+)
+def test_drains_that_wait_for_long_are_logged_with_the_limit_that_holds_them_back(
+    max_messages, line_rate, expected
+):
+    fleet = FleetModel(settings(max_messages, 3.0, line_rate), ENDPOINTS, seed=1)
+    for proxy in range(PROXIES):
+        fleet.join(proxy)
+    fleet.run(3 * QUIET_S)
+    assert not fleet.commands.lines
+    for number in range(18):
+        fleet.replace(number, ENDPOINTS + number)
+        fleet.run(0.2)
+    fleet.run(WINDOW_S)
+    assert fleet.commands.lines
+    assert all(re.fullmatch(expected, line) for line in fleet.commands.lines), fleet.commands.lines
--- a/tests/simhost/wire_fleet.py
+++ b/tests/simhost/wire_fleet.py
@@ -53,6 +53,7 @@
             "Cordon": self.set_ejected,
             "Install": self.assign_table,
             "GateClass": self.set_admission,
+            "JournalLine": lambda controller, text: set(),  # affects no proxy
         }
 
     # The run of a scenario
