--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -691,6 +691,7 @@
     settings = lagos_settings()
     settings |= {
         "balancers": 1,
+        "membershipMode": "automatic",
         "grades": [
             _grade("look", 800.0, 2000.0, "idempotent", 1.0, 5000.0, "all"),
             _grade("book", 1000.0, 2500.0, "deduplicated", 3.0, 2500.0, "cell"),
@@ -700,6 +701,7 @@
         "zones": ["hall-a", "hall-b", "hall-c"],
     }
     settings["rules"] |= {"cold": 16000.0, "coldShare": 0.16, "stopSendingWithin": 4000.0}
+    del settings["rules"]["askWithin"]  # only where the list has to be asked for
     settings["specifics"] |= {
         "baseMode": 0,
         "envelope": 3.0,
