--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,6 +9,7 @@
 
 import fleet as stand_ins
 
+RECORD = Path(__file__).resolve().parent / "record.txt"  # what was sent, answered and run
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 KINDS = {"list-lookup": 0.54, "slot-update": 0.26, "fee-charge": 0.20}
 ZONES = ["ikeja", "yaba", "apapa", "lekki"]
@@ -25,7 +26,7 @@
 
     def make(self) -> stand_ins.Fleet:
         """Create the stand-ins."""
-        return stand_ins.Fleet(Path(__file__).resolve().parent, KINDS, ZONES)
+        return stand_ins.Fleet(RECORD, KINDS, ZONES)
 
     async def run(self, fleet: stand_ins.Fleet) -> int:
         """Play the case and return its verdict."""
--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -527,10 +527,10 @@
 
 
 class Fleet:
-    """All stand-ins and controllers of a case."""
+    """All stand-ins and controllers of a case. `record`: the file of what was sent, answered, run."""
 
-    def __init__(self, folder: Path, kinds: dict[str, float], zones: list[str], standing: int = 6) -> None:
-        self.record = Record(folder / "record.txt")
+    def __init__(self, record: Path, kinds: dict[str, float], zones: list[str], standing: int = 6) -> None:
+        self.record = Record(record)
         self.kinds, self.zones, self.standing = kinds, zones, standing
         self.redial_s = (0.53, 2.4)  # time to the next dialling after a break
         self.endpoints: dict[str, Endpoint] = {}
