A watch that fails while a fetch is answered is opened again

Cause: EndpointDiscovery.record_list took any received list as proof of an open watch, also the answer to a fetch that was under way when the watch failed.

Change: the watch is closed, opening or open. A failure closes it, a command makes it opening, only then a list makes it open.

The same with xDS: lists of a management server counted as answers of discovery.

--- a/oatcart/policy/discovery.py
+++ b/oatcart/policy/discovery.py
@@ -1,6 +1,7 @@
 """Discovery: decides when to fetch the endpoint list, and applies received lists to the registry."""
 
 from collections.abc import Callable
+from enum import Enum, auto
 
 from oatcart.events import EndpointEntry, EndpointListReceived
 from oatcart.model import DiscoverySettings, EndpointState, WarmUpLimits
@@ -15,6 +16,14 @@
 JITTER = 0.25  # random part of a wait, up or down, so that controllers do not call at the same time
 
 
+class WatchState(Enum):
+    """The state of the watch on the endpoint list, as far as events show it."""
+
+    CLOSED = auto()  # none was commanded yet, or the last one has failed
+    OPENING = auto()  # commanded; no list was received since
+    OPEN = auto()
+
+
 class EndpointDiscovery:
     """Decides when to call discovery; no calls are made if changes are sent without a watch."""
 
@@ -22,7 +31,7 @@
         """`uniform(a, b)` draws the seeded random numbers."""
         self._must_watch = settings.must_watch
         self._uniform = uniform
-        self._watching = not settings.must_watch
+        self._watch = WatchState.CLOSED
         self._backoff = FIRST_BACKOFF_S
         self._next_call_at = LONG_AGO  # LONG_AGO: no call was made yet
         self._next_refresh_at = LONG_AGO
@@ -32,29 +41,36 @@
         if not self._must_watch:
             return
         now = this_round.now
-        refresh_at = self._next_refresh_at if self._watching else LONG_AGO
+        is_open = self._watch is WatchState.OPEN
+        refresh_at = self._next_refresh_at if is_open else LONG_AGO
         if now < max(self._next_call_at, refresh_at):
             return
         self._next_call_at = now + MAX_BACKOFF_S
         self._next_refresh_at = now + REFRESH_S
-        if self._watching:
+        if is_open:
             this_round.commands.fetch_endpoints()
         else:
             this_round.commands.watch_endpoints(True)
+            self._watch = WatchState.OPENING
 
     def record_failure(self, now: float) -> None:
         """Schedules the next call after a failed one, with a longer wait after each failure."""
-        self._watching = not self._must_watch
+        self._watch = WatchState.CLOSED
         wait = self._backoff * self._uniform(1.0 - JITTER, 1.0 + JITTER)
         self._next_call_at = now + wait
         self._backoff = min(MAX_BACKOFF_S, self._backoff * 2)
 
     def record_list(self, now: float) -> None:
-        """Records that a list was received; one that arrives before the first call is not an answer to it."""
-        if self._next_call_at > LONG_AGO:
-            self._watching = True
-            self._backoff = FIRST_BACKOFF_S
-            self._next_call_at = now
+        """Records that a list was received; without a watch it shows nothing about one.
+
+        Then it was known at the start, answers a fetch that was open when the watch failed, or is not from
+        discovery.
+        """
+        if self._watch is WatchState.CLOSED:
+            return
+        self._watch = WatchState.OPEN
+        self._backoff = FIRST_BACKOFF_S
+        self._next_call_at = now
 
 
 def apply_endpoint_list(
--- a/tests/xds/test_management_server.py
+++ b/tests/xds/test_management_server.py
@@ -206,3 +206,19 @@
             await client.wait_until(lambda: client.endpoints("lookup")["n0"][1] == "DRAINING")
 
     run_async(scenario())
+
+
+def test_a_list_of_a_management_server_is_no_answer_of_discovery():
+    """Discovery is unreachable: each failed watch is followed by another, whatever else is received."""
+
+    async def scenario():
+        async with ManagementHarness(endpoint_list(2), with_roll=True) as harness, asyncio.timeout(10.0):
+            client = await subscribed_client(harness, "c", False, "whole")
+            for attempt in range(1, 4):
+                while sum("the watch ended" in line for line in harness.log_lines) < attempt:
+                    await asyncio.sleep(0.02)
+                name = f"n{attempt + 1}"
+                harness.management_server.publish(management_list("n0", "n1", name))
+                await client.wait_until(lambda: name in client.endpoints("lookup"))
+
+    run_async(scenario())
