A failed fetch of the endpoint list leaves a working watch open

A discovery service too busy for a fetch lost the controller's open watch too: 0.5 s later it was cancelled and opened again, a call more at a busy service, and no changes while that fails.

Cause: EndpointListFailed didn't say which call had failed, so record_failure took each for the watch. On sockets the watcher knows it; the simulator's wire doesn't say it ("a failure does not say which call it was").

Change: the event names the call. An unknown call counts as the watch. Traces store the call; older files without it are read as unknown.

--- a/oatcart/events.py
+++ b/oatcart/events.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from oatcart.model import EndpointState, HealthCheckOutcome, LoadReport
+from oatcart.model import DiscoveryCall, EndpointState, HealthCheckOutcome, LoadReport
 
 
 class EndpointEntry(NamedTuple):
@@ -30,6 +30,8 @@
 class EndpointListFailed(NamedTuple):
     """A fetch of the endpoint list or a watch on it has failed."""
 
+    call: DiscoveryCall = DiscoveryCall.UNKNOWN
+
 
 class HealthCheckCompleted(NamedTuple):
     """A health check of an endpoint has ended."""
--- a/oatcart/model.py
+++ b/oatcart/model.py
@@ -20,6 +20,14 @@
     DRAINING = 2
 
 
+class DiscoveryCall(IntEnum):
+    """A call to discovery, as far as the protocol tells which one has failed."""
+
+    UNKNOWN = 0
+    WATCH = 1
+    FETCH = 2
+
+
 class HealthCheckOutcome(IntEnum):
     """How a health check ended."""
 
--- a/oatcart/net/endpoint_list.py
+++ b/oatcart/net/endpoint_list.py
@@ -5,6 +5,7 @@
 
 from oatcart.errors import CloseReason, ConnectionClosedError
 from oatcart.events import EndpointListFailed, EndpointListReceived
+from oatcart.model import DiscoveryCall
 from oatcart.net.codec import ENDPOINT_LIST_PATH, Codec, EndpointList, parse_object, watch_path
 from oatcart.net.http_client import HttpClient
 from oatcart.net.log import Log
@@ -105,7 +106,7 @@
                 wait = self.wait
         except ConnectionClosedError as error:
             self.watch_task = None
-            self._report_failure("watch", error)
+            self._report_failure(DiscoveryCall.WATCH, error)
         finally:
             client.close()
 
@@ -136,12 +137,12 @@
             body = yield from client.get(ENDPOINT_LIST_PATH, deadline)
             self.receive(self.codec.decode_endpoint_list(parse_object(body)))
         except ConnectionClosedError as error:
-            self._report_failure("fetch", error)
+            self._report_failure(DiscoveryCall.FETCH, error)
         finally:
             self.fetch_task = None
             client.close()
 
-    def _report_failure(self, call: str, error: ConnectionClosedError) -> None:
+    def _report_failure(self, call: DiscoveryCall, error: ConnectionClosedError) -> None:
         host, port = self.discovery
-        self.log.write("discovery", f"the {call} ended: {error}; discovery is at {host}:{port}")
-        self.add_event(EndpointListFailed())
+        self.log.write("discovery", f"the {call.name.lower()} ended: {error}; discovery is at {host}:{port}")
+        self.add_event(EndpointListFailed(call))
--- a/oatcart/policy/controller.py
+++ b/oatcart/policy/controller.py
@@ -107,7 +107,7 @@
             case EndpointListReceived():
                 self._apply_endpoint_list(event, now)
             case EndpointListFailed():
-                self.discovery.record_failure(now)
+                self.discovery.record_failure(event.call, now)
             case _:
                 raise TypeError(f"unknown type of event: {event!r}")
 
--- a/oatcart/policy/discovery.py
+++ b/oatcart/policy/discovery.py
@@ -4,7 +4,7 @@
 from enum import Enum, auto
 
 from oatcart.events import EndpointEntry, EndpointListReceived
-from oatcart.model import DiscoverySettings, EndpointState, WarmUpLimits
+from oatcart.model import DiscoveryCall, DiscoverySettings, EndpointState, WarmUpLimits
 from oatcart.policy.outlier_detection import OutlierDetection
 from oatcart.policy.registry import EndpointRegistry
 from oatcart.policy.slow_start import ramp_start
@@ -53,8 +53,14 @@
             this_round.commands.watch_endpoints(True)
             self._watch = WatchState.OPENING
 
-    def record_failure(self, now: float) -> None:
-        """Schedules the next call after a failed one, with a longer wait after each failure."""
+    def record_failure(self, call: DiscoveryCall, now: float) -> None:
+        """Schedules the next watch after a failed one, with a longer wait after each failure.
+
+        A failed fetch shows nothing about the watch; the next one is due as after any fetch. A call that is
+        not known may have been the watch.
+        """
+        if call is DiscoveryCall.FETCH:
+            return
         self._watch = WatchState.CLOSED
         wait = self._backoff * self._uniform(1.0 - JITTER, 1.0 + JITTER)
         self._next_call_at = now + wait
--- a/oatcart/trace/round_codec.py
+++ b/oatcart/trace/round_codec.py
@@ -24,6 +24,7 @@
     AdmissionMode,
     ChannelLimits,
     ControllerSettings,
+    DiscoveryCall,
     DiscoverySettings,
     EndpointState,
     HealthCheckOutcome,
@@ -89,6 +90,8 @@
     if name == EventName.ENDPOINT_LIST_RECEIVED:
         complete, entries = fields
         return EndpointListReceived(complete, [_decode_entry(entry) for entry in entries])
+    if name == EventName.ENDPOINT_LIST_FAILED:
+        return EndpointListFailed(*map(DiscoveryCall, fields))  # older versions stored no call
     if name == EventName.HEALTH_CHECK_COMPLETED:
         endpoint, outcome, duration, load = fields
         return HealthCheckCompleted(endpoint, HealthCheckOutcome(outcome), duration, LoadReport(*load))
--- a/tests/net/test_endpoint_list.py
+++ b/tests/net/test_endpoint_list.py
@@ -37,9 +37,9 @@
 
     with monkeypatch.context() as patch:
         patch.setattr(socket, "socket", raise_no_descriptors)
-        for step in ("command fetch_endpoints", "expect_event EndpointListFailed") * 2:
+        for step in ("command fetch_endpoints", "expect_event EndpointListFailed 2") * 2:
             harness.play(step)
-        for step in ("command watch_endpoints true", "expect_event EndpointListFailed"):
+        for step in ("command watch_endpoints true", "expect_event EndpointListFailed 1"):
             harness.play(step)
         assert harness.rounds.watcher.watch_task is None
     for step in ("command fetch_endpoints", "expect_request /v1/servers"):
--- a/tests/net/test_socket_wire_bytes.py
+++ b/tests/net/test_socket_wire_bytes.py
@@ -16,7 +16,7 @@
     ProxyLoadReported,
     UpdateAcknowledged,
 )
-from oatcart.model import EndpointState, HealthCheckOutcome, LoadReport
+from oatcart.model import DiscoveryCall, EndpointState, HealthCheckOutcome, LoadReport
 from oatcart.net.codec import Codec
 from oatcart.routing_tables import UpdatePart
 
@@ -263,7 +263,7 @@
     found = harness.events_after(
         lambda data: respond(harness, b"HTTP/1.1 503 Service Unavailable\r\n", data), b""
     )
-    assert found == [EndpointListFailed()]
+    assert found == [EndpointListFailed(DiscoveryCall.WATCH)]
 
 
 @pytest.mark.parametrize(
--- a/tests/policy/scenario_player.py
+++ b/tests/policy/scenario_player.py
@@ -23,6 +23,7 @@
     AdmissionMode,
     ChannelLimits,
     ControllerSettings,
+    DiscoveryCall,
     DiscoverySettings,
     EndpointState,
     HealthCheckOutcome,
@@ -260,8 +261,8 @@
     match step:
         case ["list" | "changes" as name, *entries]:
             return EndpointListReceived(name == "list", [endpoint_entry(word) for word in entries])
-        case ["list_failed"]:
-            return EndpointListFailed()
+        case ["list_failed", *call]:
+            return EndpointListFailed(DiscoveryCall[call[0].upper()] if call else DiscoveryCall.UNKNOWN)
         case ["join", proxy, zone, *configured]:
             return ProxyJoined(int(proxy), int(zone[1:]), USUAL_RATE, not configured)
         case ["left", proxy]:
--- a/tests/trace/test_round_codec.py
+++ b/tests/trace/test_round_codec.py
@@ -15,7 +15,7 @@
     ProxyLoadReported,
     UpdateAcknowledged,
 )
-from oatcart.model import EndpointState, HealthCheckOutcome, LoadReport, RetryPolicy
+from oatcart.model import DiscoveryCall, EndpointState, HealthCheckOutcome, LoadReport, RetryPolicy
 from oatcart.trace import generate
 from oatcart.trace.command_log import CommandLog
 from oatcart.trace.round_codec import (
@@ -33,7 +33,7 @@
         EndpointListReceived(True, [EndpointEntry(2, 1, 990.0, EndpointState.DRAINING, 1.5)]),
         ("listed", True, ((2, 1, 990.0, 2, 1.5),)),
     ),
-    (EndpointListFailed(), ("unlisted",)),
+    (EndpointListFailed(DiscoveryCall.FETCH), ("unlisted", 2)),
     (
         HealthCheckCompleted(2, HealthCheckOutcome.TIMED_OUT, 0.25, LOAD),
         ("probed", 2, 4, 0.25, (3.0, 0.5, None)),
@@ -83,6 +83,11 @@
     assert type(checked.outcome) is HealthCheckOutcome and type(checked.load) is LoadReport
 
 
+def test_a_failure_stored_without_its_call_is_read():
+    """Files of older versions don't say which call failed."""
+    assert decode_event(["unlisted"]) == EndpointListFailed(DiscoveryCall.UNKNOWN)
+
+
 def test_every_event_type_has_a_stored_name():
     assert {type(event) for event, _ in EVENTS} == set(events.Event.__args__)
     assert {stored[0] for _, stored in EVENTS} == set(EventName)
