Proxies that wait for their tables are sent the drains from before they joined

Cause: an ejection goes once, to the proxies joined then. A proxy that joins later with tables of the former process is told of it by its own complete tables, and these wait in the channel behind the ejections and new entries of the release: in the record, proxy 26 joined at 14.81 s, its first table came at 16.11 s without a word on other endpoints, the second at 20.54 s. Excluded: the message cap, late discovery (told at 14.82 s).

New command send_ejections; each proxy is sent only what it lacks.

Tests: the model of the fleet has a channel now.

--- a/oatcart/commands.py
+++ b/oatcart/commands.py
@@ -31,6 +31,12 @@
     def set_ejected(self, endpoint: int, ejected: bool) -> None:
         """Ejects an endpoint (an outlier, draining or gone) at all proxies, or restores it."""
 
+    def send_ejections(self, proxy: int) -> None:
+        """Sends one proxy all ejections that it was not sent on its stream.
+
+        Given only where `ControllerSettings.single_proxy_ejections` is set.
+        """
+
     def set_admission(self, table: int, classes: int, quota: float, retry_policy: RetryPolicy) -> None:
         """Sets the quota (a share, or requests/s for each proxy) and the retry policy of classes."""
 
--- a/oatcart/model.py
+++ b/oatcart/model.py
@@ -124,3 +124,4 @@
     health_checks_allowed: bool
     drain_deadline: float = inf  # s from an endpoint's listing as DRAINING to the last request sent to it
     expected_proxies: float = 0.0  # number of proxies that usually join this controller
+    single_proxy_ejections: bool = False  # the protocol can send ejections to one proxy alone
--- a/oatcart/policy/controller.py
+++ b/oatcart/policy/controller.py
@@ -60,7 +60,9 @@
         self.publication = Publication(
             settings.warm_up, self.registry, proxies, self.routing, weighting, self.channel
         )
-        self.draining = Draining(self.registry, proxies, self.routing, self.channel)
+        self.draining = Draining(
+            self.registry, proxies, self.routing, self.channel, settings.single_proxy_ejections
+        )
         self.assignment = Assignment(
             self.registry, proxies, self.routing, self.workload, self.shedding, self.publication, self.channel
         )
@@ -133,6 +135,7 @@
         self.routing.assign_endpoints()
         self.draining.remove_unavailable(this_round)
         self.assignment.assign_joined(this_round)
+        self.draining.send_earlier_ejections(this_round)
         all_assigned = self.directory.all_assigned()
         unblocked = not self.routing.has_subsets or all_assigned
         for table in self.routing.used_tables():
--- a/oatcart/policy/draining.py
+++ b/oatcart/policy/draining.py
@@ -29,12 +29,17 @@
         proxies: Mapping[int, Proxy],
         tables: TableRegistry,
         channel: UpdateChannel,
+        single_proxy_ejections: bool,
     ) -> None:
-        """`proxies`: the joined proxies by number. All arguments are shared with the other modules."""
+        """`proxies`: the joined proxies by number. These arguments are shared with the other modules.
+
+        `single_proxy_ejections`: ejections can be sent to one proxy alone.
+        """
         self._registry = registry
         self._proxies = proxies
         self._tables = tables
         self._channel = channel
+        self._single_proxy_ejections = single_proxy_ejections
         self._overdue_after = min(OVERDUE_S, channel.message_cap.drain_wait)  # s
         self._late_after = LATE_SHARE * channel.message_cap.drain_deadline  # s
         self._delayed: dict[int, Proxy] = {}  # to which a drain could not be sent in the last check
@@ -83,6 +88,28 @@
             self._proxies, [endpoint for endpoint in due.values() if not endpoint.ejection_sent]
         )
 
+    def send_earlier_ejections(self, this_round: Round) -> None:
+        """Sends the ejections from before they joined to proxies that wait for tables.
+
+        Such a proxy may have tables with these endpoints from another controller, or from an earlier process
+        of this one. Its new tables tell of ejections too, but may wait for the channel for longer than the
+        drain deadline.
+        """
+        if not self._single_proxy_ejections or self._tables.has_subsets:
+            return
+        ejected_at = [
+            endpoint.ejection_sent_at
+            for endpoint in self._registry.endpoints.values()
+            if endpoint.ejection_sent
+        ]
+        for number, proxy in self._proxies.items():
+            if proxy.assigned or proxy.earlier_ejections_sent:
+                continue
+            lines = sum(sent_at < proxy.joined_at for sent_at in ejected_at)
+            if lines and self._channel.reserve({number: proxy}, lines, URGENT_SHARE):
+                this_round.commands.send_ejections(number)
+                proxy.earlier_ejections_sent = True
+
     def restore_available(self, this_round: Round) -> None:
         """Restores available endpoints at all proxies, once no table has a higher weight than it should.
 
--- a/oatcart/policy/state.py
+++ b/oatcart/policy/state.py
@@ -75,6 +75,7 @@
     rates: list[float]  # requests/s, by request class
     message_times: deque[float] = field(default_factory=deque)  # within the cap's window; flow_control
     drain_waiting_since: float = inf  # when the oldest drain not sent to it was received; draining
+    earlier_ejections_sent: bool = False  # it was sent the ejections from before it joined; draining
     assigned: bool = False  # it has all its tables; assignment
     tables: list["RoutingTable"] = field(default_factory=list)
 
--- a/oatcart/routing_tables.py
+++ b/oatcart/routing_tables.py
@@ -71,6 +71,7 @@
     assignments: dict[int, set[int]] = field(default_factory=dict)  # newly assigned tables, by proxy
     shared_admission: set[int] = field(default_factory=set)  # request classes
     ejections: list[int] = field(default_factory=list)  # endpoints that were ejected or restored
+    all_ejections_to: set[int] = field(default_factory=set)  # proxies that are sent all ejections
     forgotten: list[int] = field(default_factory=list)  # endpoints
     nonce: int | None = None
     ack_from_all: bool = False
@@ -109,6 +110,7 @@
     def remove_proxy(self, proxy: int) -> None:
         """Remove a proxy whose stream has ended; no effect if it has none."""
         self.changes.assignments.pop(proxy, None)
+        self.changes.all_ejections_to.discard(proxy)
         state = self.proxies.pop(proxy, None)
         if state is not None:
             for number in state.assignments:
@@ -156,6 +158,11 @@
             self.ejected.discard(endpoint)
         self.changes.ejections.append(endpoint)
 
+    def send_ejections(self, proxy: int) -> None:
+        """Send a proxy all ejections that it was not sent; no effect if its stream has ended."""
+        if proxy in self.proxies:
+            self.changes.all_ejections_to.add(proxy)
+
     def forget_endpoint(self, endpoint: int) -> None:
         """Restore an endpoint; its number may stand for another endpoint from the next round on."""
         self.set_ejected(endpoint, False)
@@ -222,7 +229,7 @@
         if changes.ejections or changes.shared_admission or changes.ack_from_all:
             return self.proxies.keys()
         changed_tables = (self.tables[number].proxies for number in changes.tables)
-        return set(changes.assignments).union(*changed_tables)
+        return changes.all_ejections_to.union(changes.assignments, *changed_tables)
 
     def _clear_changes(self) -> None:
         for endpoint in self.changes.forgotten:
@@ -243,6 +250,8 @@
         newly_assigned = self.changes.assignments.get(proxy, ())
         parts: list[UpdatePart] = []
         endpoints = list(self.changes.ejections)
+        if proxy in self.changes.all_ejections_to:
+            endpoints += sorted(self.ejected)
         unassigned = self.all_classes
         for number, classes in state.assignments.items():
             unassigned &= ~classes
--- a/oatcart/settings.py
+++ b/oatcart/settings.py
@@ -83,11 +83,16 @@
 def read_socket_controller_settings(settings: dict) -> ControllerSettings:
     """Return the settings of a controller on sockets.
 
-    Discovery over sockets sends changes only to a watch, so `must_watch` is always set. Raises the same
-    errors as `read_controller_settings`.
+    Discovery over sockets sends changes only to a watch, so `must_watch` is always set, and each proxy has a
+    stream of its own, so ejections can be sent to one alone. Raises the same errors as
+    `read_controller_settings`.
     """
     controller = read_controller_settings(settings)
-    return replace(controller, discovery=controller.discovery._replace(must_watch=True))
+    return replace(
+        controller,
+        discovery=controller.discovery._replace(must_watch=True),
+        single_proxy_ejections=True,
+    )
 
 
 def _read_request_classes(settings: dict, specifics: dict) -> tuple[RequestClass, ...]:
--- a/oatcart/trace/command_log.py
+++ b/oatcart/trace/command_log.py
@@ -39,6 +39,11 @@
         self.stored.append((CommandName.SET_EJECTED, endpoint, ejected))
         self._target.set_ejected(endpoint, ejected)
 
+    def send_ejections(self, proxy: int) -> None:
+        """Send one proxy all ejections that it was not sent."""
+        self.stored.append((CommandName.SEND_EJECTIONS, proxy))
+        self._target.send_ejections(proxy)
+
     def set_admission(self, table: int, classes: int, quota: float, retry_policy: RetryPolicy) -> None:
         """Set the quota and the retry policy of some request classes."""
         self.stored.append((CommandName.SET_ADMISSION, table, classes, quota, retry_policy))
--- a/oatcart/trace/round_codec.py
+++ b/oatcart/trace/round_codec.py
@@ -55,6 +55,7 @@
     CLEAR_TABLE = "blank"
     ASSIGN_TABLE = "bind"
     SET_EJECTED = "withdraw"
+    SEND_EJECTIONS = "send_ejections"
     SET_ADMISSION = "admit"
     FORGET_ENDPOINT = "drop"
     REQUEST_ACK = "ask_ack"
@@ -119,6 +120,7 @@
         "may_probe": settings.health_checks_allowed,
         "grace": settings.drain_deadline,
         "usual_proxies": settings.expected_proxies,
+        "single_proxy_ejections": settings.single_proxy_ejections,
     }
 
 
@@ -135,6 +137,7 @@
         health_checks_allowed=stored["may_probe"],
         drain_deadline=stored.get("grace", inf),
         expected_proxies=stored.get("usual_proxies", 0.0),
+        single_proxy_ejections=stored.get("single_proxy_ejections", False),
     )
 
 
--- a/oatcart/xds/rounds.py
+++ b/oatcart/xds/rounds.py
@@ -81,6 +81,11 @@
         self.tables_changed = True
         super().set_ejected(endpoint, ejected)
 
+    def send_ejections(self, proxy: int) -> None:
+        """Send one proxy all ejections; of an xDS client, publication awaits the acknowledgement."""
+        self.tables_changed = True
+        super().send_ejections(proxy)
+
     def set_admission(self, table: int, classes: int, quota: float, retry_policy: int) -> None:
         """Set the quota and the retry policy of classes."""
         self.tables_changed = True
--- a/tests/policy/fleet_model.py
+++ b/tests/policy/fleet_model.py
@@ -1,10 +1,12 @@
 """A modelled fleet for the decisions: proxies apply updates and acknowledge them, endpoints come and drain.
 
 The model notes for how long a proxy may have used an endpoint after its drain was told, and how many messages
-it was sent within the window of the message cap.
+it was sent within the window of the message cap. Updates are applied at once, unless the model has a channel,
+which they leave at its line rate.
 """
 
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from random import Random
 
@@ -17,7 +19,7 @@
     ProxyLeft,
     UpdateAcknowledged,
 )
-from oatcart.model import ControllerSettings, EndpointState, LoadReport
+from oatcart.model import ChannelLimits, ControllerSettings, EndpointState, LoadReport
 from oatcart.policy import Controller
 from oatcart.routing_tables import RoutingTables, UpdatePart
 
@@ -78,11 +80,44 @@
         return entries - self.ejected
 
 
+class ModelChannel:
+    """The channel to the proxies: messages leave it one by one, and each travels for the same time."""
+
+    def __init__(self, limits: ChannelLimits, travel_time: float) -> None:
+        """`travel_time`: s from leaving the channel to the proxy."""
+        self._limits = limits
+        self._travel_time = travel_time
+        self._free_at = 0.0  # when all messages have left
+        self._messages: deque[tuple[float, ModelProxy, int, tuple[UpdatePart, ...]]] = deque()
+
+    def send(self, now: float, number: int, proxy: ModelProxy, parts: tuple[UpdatePart, ...]) -> None:
+        """Takes in a message."""
+        lines = self._limits.message_overhead + sum(map(line_count, parts))
+        self._free_at = max(self._free_at, now) + lines / self._limits.line_rate
+        self._messages.append((self._free_at + self._travel_time, proxy, number, parts))
+
+    def arrived(self, now: float) -> Iterator[tuple[int, ModelProxy, tuple[UpdatePart, ...]]]:
+        """Yields the messages that have arrived since the last call."""
+        while self._messages and self._messages[0][0] <= now:
+            _, proxy, number, parts = self._messages.popleft()
+            yield number, proxy, parts
+
+
+def line_count(part: UpdatePart) -> int:
+    """Returns the lines that the channel counts for a part of a message."""
+    entries = len(part.weights) + len(part.ejected) + len(part.restored)
+    return entries + part.complete + (part.quota is not None) + (part.nonce is not None)
+
+
 class FleetModel:
     """Plays events on a controller. Times are seconds; the model starts at 100 s with all endpoints ready."""
 
-    def __init__(self, settings: ControllerSettings, endpoints: int, seed: int) -> None:
+    def __init__(
+        self, settings: ControllerSettings, endpoints: int, seed: int, travel_time: float | None = None
+    ) -> None:
+        """`travel_time` (s) of a message; None: there is no channel."""
         self.settings = settings
+        self.channel = None if travel_time is None else ModelChannel(settings.channel, travel_time)
         self.random = Random(seed)
         self.now = 100.0
         self.controller = Controller(settings, seed)
@@ -157,17 +192,27 @@
             events, self._events = self._events, []
             self.controller.round(self.now, events, self.commands)
             for number, parts in self.commands.updates():
-                self._deliver(number, parts)
+                self._send(number, parts)
+            if self.channel is not None:
+                for number, proxy, parts in self.channel.arrived(self.now):
+                    if self.proxies.get(number) is proxy:  # otherwise it was lost with the stream
+                        self._apply(number, proxy, parts)
             self._check()
             self.now += STEP_S
 
-    def _deliver(self, number: int, parts: tuple[UpdatePart, ...]) -> None:
+    def _send(self, number: int, parts: tuple[UpdatePart, ...]) -> None:
         proxy = self.proxies[number]
-        proxy.apply(parts, range(len(self.settings.request_classes)))
         proxy.message_times.append(self.now)
         while proxy.message_times[0] <= self.now - self.settings.channel.message_window:
             proxy.message_times.popleft()
         self.most_messages = max(self.most_messages, len(proxy.message_times))
+        if self.channel is None:
+            self._apply(number, proxy, parts)
+        else:
+            self.channel.send(self.now, number, proxy, parts)
+
+    def _apply(self, number: int, proxy: ModelProxy, parts: tuple[UpdatePart, ...]) -> None:
+        proxy.apply(parts, range(len(self.settings.request_classes)))
         if parts[-1].nonce is not None:
             ack = UpdateAcknowledged(number, parts[-1].nonce, ACK_DELAY_S)
             self._acks.append((self.now + ACK_DELAY_S, ack))
--- a/tests/test_routing_tables.py
+++ b/tests/test_routing_tables.py
@@ -26,7 +26,7 @@
     WarmUpLimits,
 )
 from oatcart.policy import Controller
-from oatcart.routing_tables import RoutingTables, bits_of
+from oatcart.routing_tables import RoutingTables, UpdatePart, bits_of
 
 CLASSES, ENDPOINTS, PROXIES, TABLES = 3, 4, 2, 2
 IDEMPOTENCY = [Idempotency.IDEMPOTENT, Idempotency.KEYED, Idempotency.NOT_IDEMPOTENT]
@@ -92,6 +92,7 @@
     st.tuples(st.just("clear_table"), integers(0, TABLES - 1)),
     st.tuples(st.just("assign_table"), integers(0, TABLES - 1), integers(0, PROXIES - 1), classes),
     st.tuples(st.just("set_ejected"), integers(0, ENDPOINTS - 1), st.booleans()),
+    st.tuples(st.just("send_ejections"), integers(0, PROXIES - 1)),
     st.tuples(
         st.just("set_admission"),
         st.sampled_from([*range(TABLES), ALL_TABLES]),
@@ -111,14 +112,16 @@
     """Proxies may join several times in a row, streams may end within a round, classes may be reassigned.
 
     Every proxy that is joined when updates are sent has its assigned tables with their admission, and the
-    correct state of each of their endpoints, ejected or not.
+    correct state of each of their endpoints, ejected or not. One that all ejections are sent to has them all.
     """
     tables, replicas = RoutingTables(CLASSES), {}
     for name, *arguments in [*commands, ("send",)]:
         if name == "send":
             tables.request_ack(1, False)
+            all_ejections_to = tables.changes.all_ejections_to
             for proxy, parts in tables.updates():
                 replicas[proxy].apply(parts)
+            assert all(tables.ejected <= replicas[proxy].ejected for proxy in all_ejections_to)
             for proxy, replica in replicas.items():
                 check_replica(tables, proxy, replica)
         elif name == "join":
@@ -182,6 +185,21 @@
         pass
 
 
+def test_all_ejections_are_sent_to_one_proxy_and_only_those_it_lacks():
+    tables = RoutingTables(CLASSES)
+    tables.set_ejected(2, True)
+    assert dict(tables.updates()) == {}
+    tables.add_proxy(0, False)
+    tables.add_proxy(1, False)
+    tables.set_ejected(3, True)
+    dict(tables.updates())
+    tables.send_ejections(1)
+    tables.send_ejections(7)  # has not joined
+    assert dict(tables.updates()) == {1: (UpdatePart(ejected=(2,)),)}
+    tables.send_ejections(1)
+    assert dict(tables.updates()) == {}
+
+
 def controller_settings(by_rate):
     """One class of each idempotency; the keyed one is served only in the proxy's own zone."""
     return ControllerSettings(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,7 +3,7 @@
 import pytest
 
 from oatcart.errors import InvalidSettingError
-from oatcart.settings import read_controller_settings
+from oatcart.settings import read_controller_settings, read_socket_controller_settings
 
 
 def test_a_message_cap_requires_its_window():
@@ -16,6 +16,13 @@
     assert controller.channel.message_window == 5.0
 
 
+def test_on_sockets_the_list_is_watched_and_ejections_can_be_sent_to_one_proxy():
+    settings = {"specifics": {"pushRate": 1000.0, "period": 1000.0}, "membershipMode": "automatic"}
+    simulated, on_sockets = read_controller_settings(settings), read_socket_controller_settings(settings)
+    assert not simulated.discovery.must_watch and not simulated.single_proxy_ejections
+    assert on_sockets.discovery.must_watch and on_sockets.single_proxy_ejections
+
+
 @pytest.mark.parametrize(
     "specifics, message",
     [
--- a/tests/trace/test_round_codec.py
+++ b/tests/trace/test_round_codec.py
@@ -1,5 +1,7 @@
 """Tests of encoding and decoding events, commands and settings."""
 
+from dataclasses import replace
+
 import msgpack
 import pytest
 
@@ -52,6 +54,7 @@
     ("clear_table", (0,), ("blank", 0)),
     ("assign_table", (0, 7, 5), ("bind", 0, 7, 5)),
     ("set_ejected", (2, True), ("withdraw", 2, True)),
+    ("send_ejections", (7,), ("send_ejections", 7)),
     ("set_admission", (0, 4, 0.5, RetryPolicy.ON_FAILURE), ("admit", 0, 4, 0.5, 2)),
     ("forget_endpoint", (2,), ("drop", 2)),
     ("request_ack", (65535, False), ("ask_ack", 65535, False)),
@@ -115,4 +118,5 @@
 
 
 def test_settings_are_read_back():
-    assert decode_settings(round_trip(encode_settings(generate.SETTINGS))) == generate.SETTINGS
+    for settings in (generate.SETTINGS, replace(generate.SETTINGS, single_proxy_ejections=True)):
+        assert decode_settings(round_trip(encode_settings(settings))) == settings
