A management server's response without the cluster is no answer to a recheck

A server that drops half of the endpoints is asked again on a new stream. If that stream began with a response without resources, the removal was never confirmed and one controller opened 2,004 streams in 5 s (trial, hold 0.3 s).

Cause: ManagementServerClient took any valid response for a stream's first answer, and with a recheck overdue waited 0 s for the next one, then opened a new stream.

Change: only a response about the cluster is the first answer.

Test: test_a_response_without_the_cluster_is_no_answer_to_a_recheck, failing before (endpoints n0 to n3 still there after 10 s), passing now with the rest of its file.

--- a/oatcart/xds/follow.py
+++ b/oatcart/xds/follow.py
@@ -202,8 +202,8 @@
                 try:
                     response = discovery_pb2.DiscoveryResponse.FromString(data)
                     request.response_nonce = response.nonce
-                    self._handle_response(response, first_on_stream)
-                    version, first_on_stream = response.version_info, False
+                    has_cluster = self._handle_response(response, first_on_stream)
+                    version, first_on_stream = response.version_info, first_on_stream and not has_cluster
                     self.backoff.answered()
                 except (InvalidResponseError, DecodeError) as error:
                     request.error_detail.code = grpc.StatusCode.INVALID_ARGUMENT.value[0]
@@ -216,7 +216,11 @@
         finally:
             call.cancel()
 
-    def _handle_response(self, response: discovery_pb2.DiscoveryResponse, first_on_stream: bool) -> None:
+    def _handle_response(self, response: discovery_pb2.DiscoveryResponse, first_on_stream: bool) -> bool:
+        """Take over the cluster's endpoints; returns False if the response is not about them.
+
+        `first_on_stream`: no earlier response of the stream was about them. Raises InvalidResponseError.
+        """
         if response.type_url != TYPE_URLS[ENDPOINTS]:
             raise InvalidResponseError(f"type_url: {response.type_url[:80]!r} was not subscribed to")
         for resource in response.resources:
@@ -229,7 +233,7 @@
                 received = parse_endpoints(message, self.codec.zones)
                 break
         else:
-            return  # a response without the cluster leaves its endpoints as they are
+            return False  # a response without the cluster leaves its endpoints as they are
         suspicion = self.verified.receive(
             self.clock(),
             self.unix_time(),
@@ -251,3 +255,4 @@
         }
         self.addresses |= {numbers[name]: address for name, address in self.address_of.items()}
         self.on_endpoints(self.verified.entries(numbers.__getitem__))
+        return True
--- a/oatcart/xds/standin/management.py
+++ b/oatcart/xds/standin/management.py
@@ -14,10 +14,13 @@
 
 
 class ScriptedManagementServer:
-    """`publish` sends a list to all streams; a new stream is sent the last one unless `silent` is set."""
+    """`publish` sends a list to all streams; a new stream is sent the last one unless `silent` is set.
+
+    With `empty_first`, a response without the cluster comes before it.
+    """
 
     def __init__(self, cluster: str) -> None:
-        self.cluster, self.silent, self.response_count = cluster, False, 0
+        self.cluster, self.silent, self.empty_first, self.response_count = cluster, False, False, 0
         self.endpoints: list[tuple] | None = None  # None: nothing to send yet
         self.outgoing_queues: list[asyncio.Queue] = []  # responses to write; None ends the stream
         self.opened_streams, self.rejections = 0, []
@@ -45,6 +48,7 @@
 
     def response(self) -> bytes:
         """Return a serialized response with the present endpoints."""
+        message = self._next_message()
         assignment = endpoint_pb2.ClusterLoadAssignment(cluster_name=self.cluster)
         for name, host, port, zone, health, weight in self.endpoints or ():
             lb_endpoint = assignment.endpoints.add().lb_endpoints.add()
@@ -56,15 +60,17 @@
             lb_endpoint.endpoint.address.socket_address.address = host
             lb_endpoint.endpoint.address.socket_address.port_value = port
             lb_endpoint.load_balancing_weight.value = weight
-        self.response_count += 1
-        message = discovery_pb2.DiscoveryResponse(
-            type_url=TYPE_URLS[ENDPOINTS],
-            nonce=str(self.response_count),
-            version_info=str(self.response_count),
-        )
         message.resources.add().Pack(assignment)
         return message.SerializeToString()
 
+    def _next_message(self) -> discovery_pb2.DiscoveryResponse:
+        """Return a response without resources, with the next nonce and version."""
+        self.response_count += 1
+        number = str(self.response_count)
+        return discovery_pb2.DiscoveryResponse(
+            type_url=TYPE_URLS[ENDPOINTS], nonce=number, version_info=number
+        )
+
     def publish(self, endpoints: list[tuple]) -> None:
         """Send endpoints to all streams, as (name, host, port, zone, health, weight)."""
         self.endpoints = endpoints
@@ -81,6 +87,8 @@
         outgoing: asyncio.Queue = asyncio.Queue()
         self.outgoing_queues.append(outgoing)
         reader = asyncio.ensure_future(self._read(context, outgoing))
+        if self.empty_first:
+            outgoing.put_nowait(self._next_message().SerializeToString())
         if not self.silent and self.endpoints is not None:
             outgoing.put_nowait(self.response())
         try:
--- a/tests/xds/test_management_server.py
+++ b/tests/xds/test_management_server.py
@@ -164,6 +164,23 @@
     run_async(scenario())
 
 
+def test_a_response_without_the_cluster_is_no_answer_to_a_recheck():
+    # Failure: it counted as a new stream's first answer, so the list after it could not confirm a removal,
+    # and one stream after the other was opened without a wait.
+    async def scenario():
+        async with ManagementHarness(hold=0.3) as harness, asyncio.timeout(10.0):
+            server = harness.management_server
+            server.publish(management_list("n0", "n1", "n2", "n3"))
+            client = await subscribed_client(harness, "c", False, "whole")
+            await client.wait_until(lambda: len(client.endpoints("lookup")) == 4)
+            server.empty_first = True
+            server.publish(management_list("n0"))
+            await client.wait_until(lambda: client.endpoints("lookup").keys() == {"n0"})
+            assert server.opened_streams == 2
+
+    run_async(scenario())
+
+
 @pytest.mark.parametrize(
     "invalid, field",
     [
