Without a message cap, the times of sent messages no longer grow without end

Cause: MessageCap.allows drops old times, but returns before that where there is no cap, and UpdateChannel.reserve added a time for each message all the same.

Change: MessageCap.record adds the time, and without a cap keeps the last one alone.

Test: test_the_times_of_sent_messages_take_bounded_memory[0], 1,000 rounds, failed before and passes now; [12] held before too.

--- a/oatcart/policy/flow_control.py
+++ b/oatcart/policy/flow_control.py
@@ -144,7 +144,7 @@
         self._reserved += cost
         self._messages_of_round += len(new_recipients)
         for proxy in new_recipients:
-            proxy.message_times.append(self._now)
+            self.message_cap.record(proxy.message_times, self._now)
         return lines
 
     def proxies_at_message_cap(self, proxies: Iterable[Proxy], waited: float) -> int:
--- a/oatcart/policy/message_cap.py
+++ b/oatcart/policy/message_cap.py
@@ -59,6 +59,12 @@
         next_drain_at = max(now, min(now, drain_waiting_since) + self._drain_interval)
         return self._later_drains_fit(sent_at, now, next_drain_at)
 
+    def record(self, sent_at: deque[float], now: float) -> None:
+        """Adds the time of a message to those of its proxy; without a cap only the last one is kept."""
+        if not self._max_messages:
+            sent_at.clear()
+        sent_at.append(now)
+
     def _later_drains_fit(self, sent_at: deque[float], now: float, next_drain_at: float) -> bool:
         """Whether, after a message now, the cap allows the next drain's, and one more in every interval.
 
--- a/oatcart/policy/state.py
+++ b/oatcart/policy/state.py
@@ -73,7 +73,8 @@
     configured_before: bool  # it has tables from some controller, which may have ejected endpoints there
     joined_at: float
     rates: list[float]  # requests/s, by request class
-    message_times: deque[float] = field(default_factory=deque)  # within the cap's window; flow_control
+    # Of messages within the cap's window, or without a cap of the last one; flow_control
+    message_times: deque[float] = field(default_factory=deque)
     drain_waiting_since: float = inf  # when the oldest drain not sent to it was received; draining
     earlier_ejections_sent: bool = False  # it was sent the ejections from before it joined; draining
     assigned: bool = False  # it has all its tables; assignment
--- a/tests/policy/test_policy_flow_control.py
+++ b/tests/policy/test_policy_flow_control.py
@@ -65,3 +65,14 @@
     assert channel.reserve(proxies, 1, OVERDUE_SHARE) == 0
     channel.begin_round(111.5)  # the first one has left the window
     assert channel.reserve(proxies, 1, OVERDUE_SHARE) == 1
+
+
+@pytest.mark.parametrize("max_messages", [0, 12])
+def test_the_times_of_sent_messages_take_bounded_memory(max_messages):
+    # Failure: without a message cap, each proxy kept the times of all messages of its stream.
+    limits = ChannelLimits(max_messages=max_messages, message_window=10.0)
+    channel, proxies = UpdateChannel(limits), two_proxies()
+    for second in range(1000):
+        channel.begin_round(float(second))
+        channel.reserve(proxies, 1, WEIGHTS_SHARE)
+    assert all(0 < len(proxy.message_times) <= max(1, max_messages) for proxy in proxies.values())
