--- a/tests/net/test_controller_runs.py
+++ b/tests/net/test_controller_runs.py
@@ -16,6 +16,7 @@
 from live.waiting import wait_until
 
 from oatcart.net.stream import MAX_UNSENT_BYTES
+from oatcart.scale.ports import free_ports
 
 NAMES = {f"n{number}" for number in range(5)}
 
@@ -262,9 +263,10 @@
     with ExitStack() as stack:
         controllers = [
             ControllerProcess(
-                tmp_path, f"n{number}", known=endpoint_list(endpoints), settings=WARM_UP_SETTINGS
+                tmp_path, f"n{number}", known=endpoint_list(endpoints), settings=WARM_UP_SETTINGS, port=port
             )
-            for number in range(CONTROLLERS)
+            # drawn at once: one drawn alone may be that of a controller that doesn't listen yet
+            for number, port in enumerate(free_ports(CONTROLLERS))
         ]
         for controller in controllers:
             stack.push(controller)
