--- a/oatcart/xds/front.py
+++ b/oatcart/xds/front.py
@@ -11,13 +11,13 @@
 from itertools import count
 from typing import Protocol
 
-from oatcart.commands import NONCE_COUNT
 from oatcart.events import ProxyJoined, ProxyLeft, ProxyLoadReported, UpdateAcknowledged
 from oatcart.model import RequestClass
 from oatcart.routing_tables import RoutingTables, UpdatePart
 from oatcart.xds import view
+from oatcart.xds.acknowledgements import await_acknowledgement, take_acknowledged
 from oatcart.xds.client_load_reports import ClusterLoadReport, LoadReportReader
-from oatcart.xds.client_state import Client, ClientIdentity, ClientRequest, PendingAcknowledgement, Stream
+from oatcart.xds.client_state import Client, ClientIdentity, ClientRequest, Stream
 from oatcart.xds.limits import (
     ClientLimits,
     PushBudget,
@@ -338,48 +338,15 @@
                 self.push_dispatch.add(*client.streams)
         for client in self.clients.values():
             if client.round_nonce is not None:
-                self._await_acknowledgement(now, client)
+                await_acknowledgement(client, now, self.cache_for)
+                self._report_acknowledged(now, client)
 
     # -- acknowledgements
 
-    def _await_acknowledgement(self, now: float, client: Client) -> None:
-        nonce, client.round_nonce = client.round_nonce, None
-        required = {
-            (stream, resource_type): unacknowledged
-            for stream in client.streams
-            for resource_type, subscription in stream.subscriptions.items()
-            if resource_type in BY_TABLE
-            and (unacknowledged := subscription.unacknowledged(self.cache_for(client, resource_type)))
-        }
-        client.pending_acks.append(PendingAcknowledgement(nonce, now, required))
-        self._report_acknowledged(now, client)
-
     def _report_acknowledged(self, now: float, client: Client) -> None:
         """Pass on the newest nonce whose resources are acknowledged on all streams."""
-        acknowledged = None
-        for pending in list(client.pending_acks):
-            for (stream, resource_type), sequences in list(pending.required.items()):
-                subscription = stream.subscriptions.get(resource_type)
-                if stream.client is not client or subscription is None:
-                    del pending.required[stream, resource_type]
-                    continue
-                for name in [
-                    name
-                    for name, sequence in sequences.items()
-                    if subscription.acknowledged.get(name, -1) >= sequence or not subscription.is_wanted(name)
-                ]:
-                    del sequences[name]
-                if not sequences:
-                    del pending.required[stream, resource_type]
-            if not pending.required:
-                acknowledged = pending
-                client.pending_acks.remove(pending)
+        acknowledged = take_acknowledged(client)
         if acknowledged is not None:
-            while (
-                client.pending_acks
-                and (acknowledged.nonce - client.pending_acks[0].nonce) % NONCE_COUNT < NONCE_COUNT // 2
-            ):
-                client.pending_acks.popleft()  # a later nonce acknowledges the earlier ones
             self.registry.add_event(
                 UpdateAcknowledged(client.proxy, acknowledged.nonce, now - acknowledged.sent_at)
             )
